--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -27,7 +27,7 @@
         service.slots = scaled(service.slots, options.scale_percent);
     }
     if options.log {
-        daemon::logging::install(log::LevelFilter::Debug);
+        daemon::logging::install(log::LevelFilter::Debug, daemon::logging::Stream::Stderr);
     }
     let fleet = LocalFleet::start(&document, instances(&answers, options.scale_percent)).await?;
     let slow = mix::most_called(&answers);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,7 +20,8 @@
 * [`settings`]: the INI file of one daemon
 * [`start`](mod@start): starting and stopping
 * [`parts`]: switches that leave parts of it out, for benches
-* [`logging`]: JSON lines on standard error
+* [`on_platform`]: the daemon on the users' platform
+* [`logging`]: JSON lines on standard error or standard output
 * [`error`]: why a daemon could not start
 */
 #![deny(missing_docs)]
@@ -46,6 +47,7 @@
 pub mod logging;
 mod mesh;
 mod metrics;
+pub mod on_platform;
 mod outcomes;
 pub mod parts;
 mod reply;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard error or standard output.
 
 use std::io::Write;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -11,10 +11,32 @@
 /// Lines below the level of a warning that are written in one second.
 const MAX_LINES_PER_SECOND: u32 = 1_000;
 
+/// Crates whose lines are written from any level on; others only warn.
+const OWN_CRATES: [&str; 4] = ["daemon", "berylhead", "relay", "platform"];
+
+/// Where the lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+impl Stream {
+    fn write(self, line: &Value) {
+        let _ = match self {
+            Stream::Stderr => writeln!(std::io::stderr().lock(), "{line}"),
+            Stream::Stdout => writeln!(std::io::stdout().lock(), "{line}"),
+        };
+    }
+}
+
 /// Installs the logger of the process. A second call changes nothing.
-pub fn install(level: LevelFilter) {
+pub fn install(level: LevelFilter, stream: Stream) {
     let logger: Box<dyn SharedLogger> = Box::new(JsonLines {
         level,
+        stream,
         second: Mutex::new(Second::default()),
     });
     let _ = CombinedLogger::init(vec![logger]);
@@ -23,6 +45,7 @@
 /// Writes one JSON object per record; a record's key-value pairs become its fields.
 struct JsonLines {
     level: LevelFilter,
+    stream: Stream,
     second: Mutex<Second>,
 }
 
@@ -70,7 +93,8 @@
 
     fn log(&self, record: &Record<'_>) {
         // Libraries log connection details at lower levels, which drown a daemon's decisions.
-        let own = record.target().starts_with("daemon") || record.target().starts_with("berylhead");
+        let target = record.target();
+        let own = OWN_CRATES.iter().any(|name| target.starts_with(name));
         if !self.enabled(record.metadata()) || !(own || record.level() <= Level::Warn) {
             return;
         }
@@ -81,7 +105,7 @@
         if suppressed > 0 {
             let line =
                 json!({ "level": "warn", "message": "lines suppressed", "count": suppressed });
-            let _ = writeln!(std::io::stderr().lock(), "{line}");
+            self.stream.write(&line);
         }
         if !admitted {
             return;
@@ -97,8 +121,7 @@
         );
         fields.insert("message".into(), json!(record.args().to_string()));
         let _ = record.key_values().visit(&mut Pairs(&mut fields));
-        let line = Value::Object(fields).to_string();
-        let _ = writeln!(std::io::stderr().lock(), "{line}");
+        self.stream.write(&Value::Object(fields));
     }
 
     fn flush(&self) {}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,8 @@
 
 use anyhow::Context;
 use bpaf::{OptionParser, Parser, construct, long};
-use daemon::{Settings, logging};
+use daemon::logging::{self, Stream};
+use daemon::{Settings, on_platform};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for input that has to be corrected.
@@ -13,18 +14,31 @@
 
 #[derive(Clone, Debug)]
 struct Options {
-    settings: PathBuf,
+    mode: Mode,
     check: bool,
 }
 
+#[derive(Clone, Debug)]
+enum Mode {
+    /// With settings of its own.
+    Settings(PathBuf),
+    /// With the settings file that the users' platform hands out.
+    Platform,
+}
+
 fn options() -> OptionParser<Options> {
     let settings = long("settings")
         .help("Settings of this daemon, an INI file")
-        .argument::<PathBuf>("FILE.ini");
+        .argument::<PathBuf>("FILE.ini")
+        .map(Mode::Settings);
+    let platform = long("platform")
+        .help("Run on the users' platform; BERYLHEAD_SETTINGS names the settings file")
+        .req_flag(Mode::Platform);
+    let mode = construct!([settings, platform]);
     let check = long("check")
         .help("Only check the settings, then exit: 0 if they are right, 2 if not")
         .switch();
-    construct!(Options { settings, check })
+    construct!(Options { mode, check })
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("The berylhead daemon: overload control beside one target instance")
@@ -35,7 +49,11 @@
 
 fn main() -> ExitCode {
     let options = options().run();
-    match run(&options.settings, options.check) {
+    let ended = match &options.mode {
+        Mode::Settings(path) => run(path, options.check),
+        Mode::Platform => run_on_platform(options.check),
+    };
+    match ended {
         Ok(code) => code,
         Err(error) => {
             eprintln!("berylhead: {error:#}");
@@ -44,6 +62,28 @@
     }
 }
 
+fn run_on_platform(check: bool) -> anyhow::Result<ExitCode> {
+    let variable = platform::settings::PATH_VARIABLE;
+    let Some(path) = std::env::var_os(variable).map(PathBuf::from) else {
+        eprintln!("{variable} is not set; it names the settings file");
+        return Ok(ExitCode::from(EXIT_BAD_INPUT));
+    };
+    let settings = match platform::settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::from(EXIT_BAD_INPUT));
+        }
+    };
+    if check {
+        println!("{}: ok", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    logging::install(log::LevelFilter::Info, Stream::Stdout);
+    on_platform::run(settings)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run(path: &Path, check: bool) -> anyhow::Result<ExitCode> {
     let settings = match Settings::load(path) {
         Ok(settings) => settings,
@@ -56,7 +96,7 @@
         println!("{}: ok", path.display());
         return Ok(ExitCode::SUCCESS);
     }
-    logging::install(settings.log_level);
+    logging::install(settings.log_level, Stream::Stderr);
     let (tx, rx) = tokio::sync::oneshot::channel();
     let daemon = daemon::start(settings, async {
         let _ = rx.await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,8 @@
 * [`edge`]: retries that one edge may add to its first tries
 * [`acceptance`]: how much of the work for a callee is worth beginning
 * [`router`]: choice of the instance that takes a call
+* [`resend`]: further sends out of a budget that all daemons share
+* [`runs`]: which run a target's own call belongs to
 * [`candidate`]: what a router is told of instances and what it answers
 */
 #![deny(missing_docs)]
@@ -53,7 +55,9 @@
 pub mod edge;
 pub mod gate;
 pub mod load;
+pub mod resend;
 pub mod router;
+pub mod runs;
 pub mod settings;
 pub mod work;
 
@@ -77,6 +81,8 @@
 pub use crate::edge::EdgeRetries;
 pub use crate::gate::Gate;
 pub use crate::load::{Load, MalformedLoad};
+pub use crate::resend::ResendBudget;
 pub use crate::router::Router;
+pub use crate::runs::{Run, RunKey, Runs};
 pub use crate::settings::{GateConfig, Headroom, Order};
 pub use crate::work::{End, Event, Offer, Permit, WaiterKey, Work};
--- /dev/null
+++ b/crates/policy/src/runs.rs
@@ -0,0 +1,88 @@
+//! Which run a target's own call belongs to, found without a trace.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use model::Class;
+use slotmap::{SlotMap, new_key_type};
+
+new_key_type! {
+    /// Key of one run in [`Runs`].
+    pub struct RunKey;
+}
+
+/// How much later than its run's deadline a call's may seem to be: the time that the call
+/// took to get here, up to that of a busy daemon.
+const LATE_BY: Duration = Duration::from_millis(60);
+/// How much earlier it may seem to be: deadlines travel in whole milliseconds.
+const EARLY_BY: Duration = Duration::from_millis(3);
+
+/// What the calls of a run inherit from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Importance of the root request.
+    pub class: Class,
+    /// Rank among the requests of one class.
+    pub worth: u32,
+    /// Hash of the root request.
+    pub shed_hash: u64,
+    /// When the target stops work on it; its calls expire then, too.
+    pub deadline: Instant,
+    /// True if the request had run before, so that its calls are repeats as well.
+    pub repeated: bool,
+}
+
+/// The runs in flight at the target beside one daemon.
+///
+/// A call of the target names no parent, but it expires when its parent does. The run whose
+/// deadline lies closest is taken for the parent; a wrong match gives the call another rank
+/// and nothing more.
+#[derive(Debug, Default)]
+pub struct Runs {
+    runs: SlotMap<RunKey, Run>,
+    by_deadline: BTreeMap<(Instant, RunKey), ()>,
+}
+
+impl Runs {
+    /// Takes note that a run begins.
+    pub fn begin(&mut self, run: Run) -> RunKey {
+        let key = self.runs.insert(run);
+        self.by_deadline.insert((run.deadline, key), ());
+        key
+    }
+
+    /// Takes note that a run ended; one that ended before is ignored.
+    pub fn end(&mut self, key: RunKey) {
+        if let Some(run) = self.runs.remove(key) {
+            self.by_deadline.remove(&(run.deadline, key));
+        }
+    }
+
+    /// The run to which a call with this deadline belongs, if there is one.
+    #[must_use]
+    pub fn parent_of(&self, deadline: Instant) -> Option<Run> {
+        let least = deadline.checked_sub(LATE_BY).unwrap_or(deadline);
+        let from = (least, RunKey::default());
+        let near = self
+            .by_deadline
+            .range(from..)
+            .take_while(|((at, _), ())| *at <= deadline + EARLY_BY);
+        let distance = |at: Instant| {
+            at.saturating_duration_since(deadline) + deadline.saturating_duration_since(at)
+        };
+        let ((_, key), ()) = near.min_by_key(|((at, _), ())| distance(*at))?;
+        self.runs.get(*key).copied()
+    }
+
+    /// Number of runs in flight.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// True if nothing runs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/admission.rs
@@ -0,0 +1,194 @@
+//! The gate of the own target, with those who wait at it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use model::{OperationKey, Refusal};
+use policy::{End, Event, Gate, GateConfig, Load, Offer, Permit, WaiterKey, Work};
+use smol_str::SmolStr;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+/// Routes whose times are told apart; all further ones share the last key.
+const MAX_OPERATIONS: u16 = 1_024;
+
+type Verdict = Result<Permit, Refusal>;
+
+/// Admission to the own target.
+pub(crate) struct Admission {
+    state: RefCell<State>,
+    /// Wakes the task that gives up waiters, when the earliest of them may have changed.
+    changed: Notify,
+}
+
+struct State {
+    gate: Gate,
+    waiters: HashMap<WaiterKey, oneshot::Sender<Verdict>>,
+    operations: HashMap<SmolStr, OperationKey>,
+    events: Vec<Event>,
+}
+
+/// The right to one slot; dropped before its end is told, it counts as cancelled.
+pub(crate) struct Slot {
+    admission: Rc<Admission>,
+    permit: Option<Permit>,
+}
+
+impl Slot {
+    /// Gives the slot back.
+    pub(crate) fn finish(mut self, end: End) {
+        self.give_back(end);
+    }
+
+    fn give_back(&mut self, end: End) {
+        if let Some(permit) = self.permit.take() {
+            let now = Instant::now().into_std();
+            self.admission.state.borrow_mut().gate.finish(permit, end, now);
+            self.admission.poll();
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.give_back(End::Cancelled);
+    }
+}
+
+/// One who waits; dropped, the place in the queue is given up.
+struct Waiter {
+    admission: Rc<Admission>,
+    key: WaiterKey,
+    verdict: oneshot::Receiver<Verdict>,
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let mut state = self.admission.state.borrow_mut();
+        if state.waiters.remove(&self.key).is_some() {
+            let now = Instant::now().into_std();
+            state.gate.cancel(self.key, now);
+            return;
+        }
+        drop(state);
+        // A verdict may have come without anyone left to take it.
+        if let Ok(Ok(permit)) = self.verdict.try_recv() {
+            drop(Slot {
+                admission: Rc::clone(&self.admission),
+                permit: Some(permit),
+            });
+        }
+    }
+}
+
+impl Admission {
+    pub(crate) fn new(cfg: GateConfig, now: Instant) -> Rc<Self> {
+        Rc::new(Admission {
+            state: RefCell::new(State {
+                gate: Gate::new(cfg, now.into_std()),
+                waiters: HashMap::new(),
+                operations: HashMap::new(),
+                events: Vec::new(),
+            }),
+            changed: Notify::new(),
+        })
+    }
+
+    pub(crate) fn reconfigure(&self, cfg: GateConfig, now: Instant) {
+        self.state.borrow_mut().gate.reconfigure(cfg, now.into_std());
+        self.poll();
+    }
+
+    pub(crate) fn load(&self, now: Instant) -> Load {
+        self.state.borrow().gate.load(now.into_std())
+    }
+
+    /// Key under which the times of a route are measured.
+    pub(crate) fn operation(&self, route: &SmolStr) -> OperationKey {
+        let operations = &mut self.state.borrow_mut().operations;
+        if let Some(key) = operations.get(route) {
+            return *key;
+        }
+        let next = u16::try_from(operations.len()).unwrap_or(MAX_OPERATIONS);
+        if next >= MAX_OPERATIONS {
+            return OperationKey(MAX_OPERATIONS);
+        }
+        operations.insert(route.clone(), OperationKey(next));
+        OperationKey(next)
+    }
+
+    /// Waits for a slot, or for the refusal.
+    pub(crate) async fn enter(self: &Rc<Self>, work: Work) -> Result<Slot, Refusal> {
+        let slot = |permit| Slot {
+            admission: Rc::clone(self),
+            permit: Some(permit),
+        };
+        let offer = self
+            .state
+            .borrow_mut()
+            .gate
+            .offer(work, Instant::now().into_std());
+        let (key, evicted) = match offer {
+            Offer::Run(permit) => return Ok(slot(permit)),
+            Offer::Refuse(refusal) => return Err(refusal),
+            Offer::Wait { key, evicted } => (key, evicted),
+        };
+        let (tx, verdict) = oneshot::channel();
+        self.state.borrow_mut().waiters.insert(key, tx);
+        let mut waiter = Waiter {
+            admission: Rc::clone(self),
+            key,
+            verdict,
+        };
+        if let Some((key, refusal)) = evicted {
+            self.tell(key, Err(refusal));
+        }
+        self.changed.notify_one();
+        let verdict = (&mut waiter.verdict).await;
+        match verdict {
+            Ok(Ok(permit)) => Ok(slot(permit)),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => unreachable!("a waiter's sender is kept until its verdict"),
+        }
+    }
+
+    /// Starts and gives up waiters as the gate decides.
+    pub(crate) fn poll(&self) {
+        let mut state = self.state.borrow_mut();
+        let mut events = std::mem::take(&mut state.events);
+        state.gate.poll(Instant::now().into_std(), &mut events);
+        drop(state);
+        for event in events.drain(..) {
+            match event {
+                Event::Start(key, permit) => self.tell(key, Ok(permit)),
+                Event::Refuse(key, refusal) => self.tell(key, Err(refusal)),
+            }
+        }
+        self.state.borrow_mut().events = events;
+    }
+
+    /// Gives up waiters when their time has come.
+    pub(crate) async fn keep_time(self: Rc<Self>) {
+        /// Time between two looks while nobody waits.
+        const IDLE: std::time::Duration = std::time::Duration::from_secs(3_600);
+        loop {
+            let next = self.state.borrow().gate.next_wakeup();
+            let at = next.map_or_else(|| Instant::now() + IDLE, Instant::from_std);
+            tokio::select! {
+                () = tokio::time::sleep_until(at) => self.poll(),
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    fn tell(&self, key: WaiterKey, verdict: Verdict) {
+        let tx = self.state.borrow_mut().waiters.remove(&key);
+        let Some(tx) = tx else { return };
+        if let Err(Ok(permit)) = tx.send(verdict) {
+            let now = Instant::now().into_std();
+            let mut state = self.state.borrow_mut();
+            state.gate.finish(permit, End::Cancelled, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,49 @@
+/*!
+The daemon beside one target on a platform that publishes configuration and targets: it takes
+the requests that begin on its machine to a target of their route's service, and runs in its
+own target what other daemons send.
+
+The rules are in `policy` and `routes`, which do no I/O; this crate connects them to sockets.
+How a platform spells things is told from outside: [`HeaderNames`] and [`Source`].
+
+```no_run
+# async fn example(cfg: relay::Settings, names: relay::HeaderNames, source: relay::Source) {
+let stop = std::future::pending();
+let ended = tokio::task::LocalSet::new()
+    .run_until(relay::run(cfg, names, source, stop))
+    .await;
+# let _ = ended;
+# }
+```
+
+# Sections
+
+* [`settings`]: what one daemon is told at its start
+* [`names`]: names of the headers that callers and targets know
+* [`source`]: where the published states are read
+* [`start`](mod@start): starting and stopping
+* [`error`]: why a daemon could not start
+*/
+#![deny(missing_docs)]
+
+mod admission;
+mod beside;
+pub mod error;
+mod headers;
+mod links;
+mod listen;
+mod mesh;
+pub mod names;
+mod origin;
+mod payload;
+mod relay;
+pub mod settings;
+pub mod source;
+pub mod start;
+mod sync;
+
+pub use crate::error::Error;
+pub use crate::names::HeaderNames;
+pub use crate::settings::{Bounds, Listen, Settings};
+pub use crate::source::{Document, Pending, Source, SourceError, State, Watched};
+pub use crate::start::run;
--- /dev/null
+++ b/crates/relay/src/links.rs
@@ -0,0 +1,234 @@
+//! Connections to targets and to other daemons, kept between requests.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use futures_util::FutureExt;
+use http::response::Parts;
+use http::{HeaderMap, Request, header};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::payload::Payload;
+
+/// Time in which a connection has to be established: a lost opening packet is sent again only
+/// after a second, and another target is found sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for which sent bytes may stay without an acknowledgement: several times the slowest
+/// round trip over a narrow link.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Silence after which a connection in use is probed, and time between two probes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is given up.
+const KEEP_ALIVE_PROBES: u32 = 2;
+/// Part of the idle time that a peer promises for which a connection is used again: the rest
+/// covers what is on its way when the peer closes.
+const IDLE_PART: f64 = 0.7;
+/// Idle time of a connection whose peer promises none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Bytes that one connection reads ahead at most; small, as there are many connections.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
+/// Why a request has no answer.
+#[derive(Debug, Display)]
+pub(crate) enum SendError {
+    /// No byte of it was sent.
+    #[display("not sent: {_0}")]
+    NotSent(String),
+    /// It may have reached the other side.
+    #[display("broken: {_0}")]
+    Broken(String),
+}
+
+/// The head of an answer, with the connection on which its body follows.
+pub(crate) struct Reply {
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) link: Link,
+}
+
+/// One connection. Dropping it closes it, which also ends the request under way on it.
+pub(crate) struct Link {
+    requests: SendRequest<Payload>,
+    task: tokio::task::JoinHandle<()>,
+    to: SocketAddr,
+    idle_since: Instant,
+    idle_life: Duration,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// All kept connections of one daemon.
+#[derive(Default)]
+pub(crate) struct Links {
+    idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+    opened: Cell<u64>,
+}
+
+impl Links {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// A kept connection that turns out to be closed before any byte was written is replaced;
+    /// nothing else is sent twice.
+    pub(crate) async fn send(
+        &self,
+        to: SocketAddr,
+        mut req: Request<Payload>,
+    ) -> Result<Reply, SendError> {
+        loop {
+            let (mut link, kept) = match self.take(to) {
+                Some(link) => (link, true),
+                None => (self.connect(to).await?, false),
+            };
+            match link.requests.try_send_request(req).await {
+                Ok(res) => {
+                    let (head, body) = res.into_parts();
+                    return Ok(Reply { head, body, link });
+                }
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if kept => req = unsent,
+                    Some(_) => return Err(SendError::NotSent(error.into_error().to_string())),
+                    None => return Err(SendError::Broken(error.into_error().to_string())),
+                },
+            }
+        }
+    }
+
+    /// Keeps a connection after a whole answer, unless the answer says that it closes.
+    pub(crate) fn keep(&self, mut link: Link, answer: &HeaderMap) {
+        let closes = answer
+            .get_all(header::CONNECTION)
+            .iter()
+            .any(|value| has_token(value.as_bytes(), b"close"));
+        if closes || link.requests.is_closed() {
+            return;
+        }
+        link.idle_since = Instant::now();
+        link.idle_life =
+            promised_idle(answer).map_or(DEFAULT_IDLE, |promised| promised.mul_f64(IDLE_PART));
+        if !link.idle_life.is_zero() {
+            self.idle.borrow_mut().entry(link.to).or_default().push(link);
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn close_idle(&self, now: Instant) {
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(|link| link.is_usable(now));
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+
+    /// Closes all idle connections to an address.
+    pub(crate) fn forget(&self, to: SocketAddr) {
+        self.idle.borrow_mut().remove(&to);
+    }
+
+    /// Number of connections opened so far.
+    pub(crate) fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Takes the connection that was used last, so that the others can become idle.
+    fn take(&self, to: SocketAddr) -> Option<Link> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&to)?;
+        let mut unready = Vec::new();
+        let found = loop {
+            let Some(mut link) = links.pop() else {
+                break None;
+            };
+            if !link.is_usable(now) {
+                continue;
+            }
+            match link.requests.ready().now_or_never() {
+                Some(Ok(())) => break Some(link),
+                Some(Err(_)) => {}
+                // The rest of its last request is still being written.
+                None => unready.push(link),
+            }
+        };
+        links.append(&mut unready);
+        found
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Link, SendError> {
+        let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to))
+            .await
+            .map_err(|_| not_sent(&"no connection in time"))?
+            .map_err(|error| not_sent(&error))?;
+        watch_for_silence(&stream);
+        self.opened.set(self.opened.get() + 1);
+        let (requests, task) = Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(&error))?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = task.await {
+                log::debug!(to:%, error:%; "connection ended");
+            }
+        });
+        Ok(Link {
+            requests,
+            task,
+            to,
+            idle_since: Instant::now(),
+            idle_life: DEFAULT_IDLE,
+        })
+    }
+}
+
+impl Link {
+    fn is_usable(&self, now: Instant) -> bool {
+        !self.requests.is_closed()
+            && now.saturating_duration_since(self.idle_since) < self.idle_life
+    }
+}
+
+/// Lets a connection whose other side fell silent fail within seconds.
+pub(crate) fn watch_for_silence(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_INTERVAL)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_PROBES);
+    let results = [
+        socket.set_tcp_nodelay(true),
+        socket.set_tcp_keepalive(&keep_alive),
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        log::debug!(error:%; "socket option refused");
+    }
+}
+
+/// Idle time that an answer promises in its `Keep-Alive` header, in whole seconds.
+fn promised_idle(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// True if a comma-separated header value holds a token, in any case of letters.
+pub(crate) fn has_token(value: &[u8], token: &[u8]) -> bool {
+    value
+        .split(|&b| b == b',')
+        .any(|part| part.trim_ascii().eq_ignore_ascii_case(token))
+}
--- /dev/null
+++ b/crates/relay/src/listen.rs
@@ -0,0 +1,115 @@
+//! Listeners and the connections that they accept.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::error::{Error, Kind};
+use crate::links::watch_for_silence;
+use crate::payload::Payload;
+use crate::relay::{Phase, Relay};
+use crate::{mesh, origin};
+
+/// Connections that may wait to be accepted: callers open hundreds at once in a burst, and a
+/// dropped one is only tried again after a second.
+const BACKLOG: i32 = 1_024;
+/// Wait after an accept that failed, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Bytes that one connection reads ahead at most, beside its longest head.
+const READ_AHEAD_BYTES: usize = 8 << 10;
+/// Time for which an idle connection between daemons is kept; longer than its caller keeps it.
+const MESH_IDLE_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Side {
+    Outbound,
+    Mesh,
+    Ready,
+}
+
+/// Binds an address.
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listen = || -> std::io::Result<TcpListener> {
+        let socket = Socket::new(
+            Domain::for_address(address),
+            Type::STREAM,
+            Some(Protocol::TCP),
+        )?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    listen().map_err(|error| Error::from(Kind::Bind { address, error }))
+}
+
+/// Accepts connections until the task is dropped.
+pub(crate) async fn accept(relay: Rc<Relay>, listener: TcpListener, side: Side) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                watch_for_silence(&stream);
+                tokio::task::spawn_local(serve(Rc::clone(&relay), stream, side));
+            }
+            Err(error) => {
+                log::warn!(error:%; "connection not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(relay: Rc<Relay>, stream: TcpStream, side: Side) {
+    let limits = relay
+        .table()
+        .map_or_else(routes::Limits::default, |table| *table.limits());
+    let idle = match side {
+        Side::Mesh => MESH_IDLE_TIMEOUT,
+        Side::Outbound | Side::Ready => limits.idle_timeout,
+    };
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.header_bytes + READ_AHEAD_BYTES)
+        .auto_date_header(false)
+        .serve_connection(
+            TokioIo::new(stream),
+            service_fn(move |req| respond(Rc::clone(&relay), req, side)),
+        );
+    if let Err(error) = connection.await {
+        log::debug!(side:?, error:%; "connection ended");
+    }
+}
+
+async fn respond(
+    relay: Rc<Relay>,
+    req: Request<Incoming>,
+    side: Side,
+) -> Result<Response<Payload>, Infallible> {
+    Ok(match side {
+        Side::Outbound => origin::serve(relay, req).await,
+        Side::Mesh => mesh::serve(&relay, req).await,
+        Side::Ready => ready(&relay),
+    })
+}
+
+/// Ready while new work can be taken and its route is known.
+fn ready(relay: &Relay) -> Response<Payload> {
+    let is_ready = relay.phase.get() == Phase::Serving && relay.table().is_some();
+    let mut res = Response::new(Payload::empty());
+    if !is_ready {
+        *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    res
+}
--- /dev/null
+++ b/crates/relay/src/mesh.rs
@@ -0,0 +1,154 @@
+//! Requests between daemons.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use model::{Outcome, Refusal, RefusalReason};
+use policy::Load;
+use routes::Target;
+use smol_str::ToSmolStr;
+use tokio::time::Instant;
+use wire::hop::{HOP, HOP_END};
+use wire::{Hop, HopEnd};
+
+use crate::beside::{self, Ended, Forward};
+use crate::headers::strip_connection;
+use crate::links::SendError;
+use crate::payload::Payload;
+use crate::relay::{InFlight, Relay};
+
+/// Time after which to ask again a daemon that can't be reached.
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Time for which daemons keep idle connections between them.
+const IDLE_PROMISE: &str = "timeout=30";
+
+/// Sends a request to the daemon beside a target; the load there comes with the answer.
+pub(crate) async fn send(
+    relay: &Rc<Relay>,
+    target: &Target,
+    hop: &Hop,
+    mut forward: Forward,
+) -> (Ended, Option<Load>) {
+    let Ok(value) = HeaderValue::from_str(&hop.to_string()) else {
+        let ended = Ended::not_run(RefusalReason::Invalid, UNREACHABLE_RETRY_AFTER);
+        return (ended, None);
+    };
+    forward.head.headers.insert(HOP, value);
+    let to = relay.daemon_of(target);
+    let reply = match relay.links.send(to, forward.into_request()).await {
+        Ok(reply) => reply,
+        Err(SendError::NotSent(why)) => {
+            log::debug!(target_id = target.id.as_str(), why:%; "daemon not reached");
+            relay.links.forget(to);
+            let ended = Ended::not_run(RefusalReason::NoInstance, UNREACHABLE_RETRY_AFTER);
+            return (ended, None);
+        }
+        Err(SendError::Broken(why)) => {
+            relay.links.forget(to);
+            return (Ended::Unknown { why }, None);
+        }
+    };
+    let mut head = reply.head;
+    let end = head
+        .headers
+        .remove(HOP_END)
+        .and_then(|value| value.to_str().ok()?.parse::<HopEnd>().ok());
+    let Some(end) = end else {
+        let why = format!("answer {} without its end", head.status);
+        return (Ended::Unknown { why }, None);
+    };
+    let load = end.load.as_ref().and_then(|load| load.parse().ok());
+    let mut body = match Payload::read(reply.body).await {
+        Ok(body) => body,
+        Err(error) => {
+            let why = format!("the answer broke off between daemons: {error}");
+            return (Ended::Unknown { why }, load);
+        }
+    };
+    let answer_headers = head.headers.clone();
+    strip_connection(&mut head.headers);
+    let link = reply.link;
+    if matches!(body, Payload::Whole(_)) {
+        relay.links.keep(link, &answer_headers);
+    } else {
+        body.hold(Box::new(link));
+    }
+    let ended = match end.outcome {
+        Outcome::Answered => Ended::Answered { head, body },
+        Outcome::NotRun => Ended::NotRun {
+            refusal: Refusal {
+                reason: end.reason.unwrap_or(RefusalReason::Overloaded),
+                retry_after: end.retry_after,
+            },
+            at_target: end.reached_target,
+        },
+        Outcome::Unknown => Ended::Unknown {
+            why: "the daemon beside the target doesn't know".to_owned(),
+        },
+    };
+    (ended, load)
+}
+
+/// Runs a request of another daemon in the own target.
+pub(crate) async fn serve(relay: &Rc<Relay>, req: Request<Incoming>) -> Response<Payload> {
+    let _in_flight = InFlight::new(relay);
+    let (mut head, body) = req.into_parts();
+    let hop = head
+        .headers
+        .remove(HOP)
+        .and_then(|value| value.to_str().ok()?.parse::<Hop>().ok());
+    let Some(hop) = hop else {
+        let mut res = Response::new(Payload::empty());
+        *res.status_mut() = StatusCode::BAD_REQUEST;
+        return res;
+    };
+    strip_connection(&mut head.headers);
+    let ended = match Payload::read(body).await {
+        Ok(body) => beside::run(relay, hop, Forward { head, body }).await,
+        Err(error) => {
+            log::debug!(error:%; "request broke off between daemons");
+            Ended::not_run(RefusalReason::Cancelled, Duration::ZERO)
+        }
+    };
+    answer(relay, ended)
+}
+
+fn answer(relay: &Relay, ended: Ended) -> Response<Payload> {
+    let load = relay.admission.load(Instant::now()).to_smolstr();
+    let mut end = HopEnd {
+        outcome: Outcome::Answered,
+        reached_target: false,
+        reason: None,
+        retry_after: Duration::ZERO,
+        load: Some(load),
+    };
+    let mut res = match ended {
+        Ended::Answered { head, body } => Response::from_parts(head, body),
+        Ended::NotRun { refusal, at_target } => {
+            end.outcome = Outcome::NotRun;
+            end.reached_target = at_target;
+            end.reason = Some(refusal.reason);
+            end.retry_after = refusal.retry_after;
+            status_only(StatusCode::SERVICE_UNAVAILABLE)
+        }
+        Ended::Unknown { why } => {
+            log::debug!(why:%; "outcome unknown beside the target");
+            end.outcome = Outcome::Unknown;
+            status_only(StatusCode::BAD_GATEWAY)
+        }
+    };
+    if let Ok(value) = HeaderValue::from_str(&end.to_string()) {
+        res.headers_mut().insert(HOP_END, value);
+    }
+    res.headers_mut()
+        .insert("keep-alive", HeaderValue::from_static(IDLE_PROMISE));
+    res
+}
+
+fn status_only(status: StatusCode) -> Response<Payload> {
+    let mut res = Response::new(Payload::empty());
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/relay/src/origin.rs
@@ -0,0 +1,393 @@
+//! Requests that begin on this machine.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use model::{InstanceId, Refusal, RefusalReason, ServiceName};
+use policy::{CallEnd, InstanceKey, Load, Pick, Run};
+use routes::{Repeat, Route, RouteTable, Target};
+use tokio::time::Instant;
+use wire::Hop;
+use wire::hop::HOP;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::beside::{self, Ended, Forward};
+use crate::headers::strip_connection;
+use crate::mesh;
+use crate::payload::Payload;
+use crate::relay::{InFlight, Phase, Relay, class_of};
+
+/// Time after which to ask again a daemon that holds no configuration yet.
+const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time after which to ask again where no target of the service is known.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Targets that are asked for one request before it is refused.
+const MAX_ROUNDS: usize = 4;
+/// Time that has to be left for another send.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(5);
+/// Rank of a call within its class, over that of a request that has not begun: what its run
+/// has cost so far is lost with it.
+const CALL_WORTH: u32 = 1_000;
+/// Rank of a request that has not begun.
+const ROOT_WORTH: u32 = 1;
+
+/// Answers one request that begins on this machine.
+pub(crate) async fn serve(relay: Rc<Relay>, req: Request<Incoming>) -> Response<Payload> {
+    let in_flight = InFlight::new(&relay);
+    let chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut res = answer(&relay, req).await;
+    // The library drops a length that comes beside chunks, so what follows a chunked request
+    // on its connection can't be trusted.
+    if chunked || relay.phase.get() == Phase::Leaving {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res.body_mut().hold(Box::new(in_flight));
+    res
+}
+
+async fn answer(relay: &Rc<Relay>, req: Request<Incoming>) -> Response<Payload> {
+    let arrived = Instant::now();
+    let (head, body) = req.into_parts();
+    let Some(table) = relay.table() else {
+        return refused(NO_TABLE_RETRY_AFTER);
+    };
+    let request = match Inbound::read(relay, &table, &head, arrived) {
+        Ok(request) => request,
+        Err(status) => return status_only(status),
+    };
+    let by = request.deadline;
+    let done = tokio::time::timeout_at(by, async {
+        let body = match Payload::read(body).await {
+            Ok(body) => body,
+            Err(error) => {
+                log::debug!(error:%; "request broke off");
+                return status_only(StatusCode::BAD_REQUEST);
+            }
+        };
+        let forward = Forward {
+            head: prepared(relay, head),
+            body,
+        };
+        Sending::new(relay, request).run(forward).await
+    });
+    done.await
+        .unwrap_or_else(|_| status_only(StatusCode::GATEWAY_TIMEOUT))
+}
+
+/// A request with what its handling depends on.
+struct Inbound {
+    route: Route,
+    deadline: Instant,
+    shed_hash: u64,
+    parent: Option<Run>,
+}
+
+impl Inbound {
+    fn read(
+        relay: &Relay,
+        table: &RouteTable,
+        head: &Parts,
+        now: Instant,
+    ) -> Result<Self, StatusCode> {
+        let host = host(head).ok_or(StatusCode::BAD_REQUEST)?;
+        let key = table
+            .find(host, head.uri.path())
+            .ok_or(StatusCode::NOT_FOUND)?;
+        let route = table.route(key).clone();
+        let id = head
+            .headers
+            .get(&relay.names.request_id)
+            .ok_or(StatusCode::BAD_REQUEST)?;
+        if content_length(&head.headers).is_some_and(|length| length > table.limits().body_bytes) {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let told = time_left(&head.headers, &relay.names.time_left_ms);
+        let parent = told.and_then(|left| {
+            let at = (now + left).into_std();
+            relay.runs.borrow().parent_of(at)
+        });
+        let left = told.map_or(route.timeout, |left| left.min(route.timeout));
+        let shed_hash = parent.map_or_else(|| xxh3_64(id.as_bytes()), |run| run.shed_hash);
+        Ok(Inbound {
+            route,
+            deadline: now + left,
+            shed_hash,
+            parent,
+        })
+    }
+}
+
+/// One request on its way to one target after the other.
+struct Sending<'a> {
+    relay: &'a Rc<Relay>,
+    request: Inbound,
+    /// Targets that have been asked.
+    asked: Vec<InstanceKey>,
+    /// Sends that reached a target, or may have.
+    arrivals: u32,
+    /// True after a send of which it is not known whether it ran.
+    may_have_run: bool,
+}
+
+/// What follows from the end of one send.
+enum Next {
+    Answer(Response<Payload>),
+    Ask(Forward),
+}
+
+impl<'a> Sending<'a> {
+    fn new(relay: &'a Rc<Relay>, request: Inbound) -> Self {
+        Sending {
+            relay,
+            request,
+            asked: Vec::new(),
+            arrivals: 0,
+            may_have_run: false,
+        }
+    }
+
+    async fn run(mut self, mut forward: Forward) -> Response<Payload> {
+        let Some(service) = self.relay.next_share(&self.request.route) else {
+            return refused(NO_TARGET_RETRY_AFTER);
+        };
+        let now = Instant::now().into_std();
+        self.relay.with_service(&service, |state| {
+            if self.request.parent.is_some_and(|run| run.repeated) {
+                state.resends.sent_further(now);
+            } else {
+                state.resends.sent_first(now);
+            }
+        });
+        loop {
+            let (key, target) = match self.pick(&service) {
+                Ok(picked) => picked,
+                Err(refusal) => return self.give_up(&refusal),
+            };
+            let spare = forward.copy();
+            let ended = self.send(&service, key, &target, forward).await;
+            match self.judge(&service, ended, spare) {
+                Next::Answer(res) => return res,
+                Next::Ask(again) => forward = again,
+            }
+        }
+    }
+
+    fn pick(&self, service: &ServiceName) -> Result<(InstanceKey, Target), Refusal> {
+        let class = self.class();
+        let now = Instant::now().into_std();
+        let (key, id) = self.relay.with_service(service, |state| {
+            match state.router.pick(class, &self.asked, now) {
+                Pick::Chosen(key) => {
+                    let id = state.router.instance(key).cloned().unwrap_or_default();
+                    Ok((key, id))
+                }
+                Pick::Refuse(refusal) => Err(refusal),
+            }
+        })?;
+        let view = self.relay.view.borrow();
+        let target = view.targets.get(&id).cloned();
+        drop(view);
+        target
+            .map(|target| (key, target))
+            .ok_or_else(|| self.vanished(service, key))
+    }
+
+    /// The refusal where the router knows a target that is no longer listed.
+    fn vanished(&self, service: &ServiceName, key: InstanceKey) -> Refusal {
+        let now = Instant::now().into_std();
+        let end = CallEnd::NotRun(RefusalReason::Leaving);
+        self.relay.with_service(service, |state| {
+            state.router.finish(key, end, Duration::ZERO, None, now);
+        });
+        Refusal {
+            reason: RefusalReason::NoInstance,
+            retry_after: NO_TARGET_RETRY_AFTER,
+        }
+    }
+
+    async fn send(
+        &mut self,
+        service: &ServiceName,
+        key: InstanceKey,
+        target: &Target,
+        forward: Forward,
+    ) -> Ended {
+        self.asked.push(key);
+        let began = Instant::now();
+        let mut call = Call {
+            relay: self.relay,
+            service,
+            key,
+            began,
+            open: true,
+        };
+        let hop = self.hop(target, began);
+        let (ended, load) = if target.address == self.relay.cfg.target {
+            let ended = beside::run(self.relay, hop, forward).await;
+            (ended, Some(self.relay.admission.load(Instant::now())))
+        } else {
+            mesh::send(self.relay, target, &hop, forward).await
+        };
+        call.finish(call_end(&ended), load);
+        ended
+    }
+
+    fn judge(&mut self, service: &ServiceName, ended: Ended, spare: Option<Forward>) -> Next {
+        let (again, refusal) = match ended {
+            Ended::Answered { head, body } => {
+                return Next::Answer(Response::from_parts(head, body));
+            }
+            Ended::NotRun { refusal, at_target } => {
+                self.arrivals += u32::from(at_target);
+                let rounds_left = self.asked.len() < MAX_ROUNDS;
+                let allowed = !at_target || self.may_send_further(service);
+                (rounds_left && allowed, Some(refusal))
+            }
+            Ended::Unknown { why } => {
+                log::debug!(why:%; "outcome unknown");
+                self.arrivals += 1;
+                self.may_have_run = true;
+                let idempotent = self.request.route.repeat == Repeat::Idempotent;
+                (idempotent && self.may_send_further(service), None)
+            }
+        };
+        let left = self.request.deadline.saturating_duration_since(Instant::now());
+        match (spare, refusal) {
+            (Some(spare), _) if again && left > LEAST_TIME_LEFT => Next::Ask(spare),
+            (_, Some(refusal)) => Next::Answer(self.give_up(&refusal)),
+            (_, None) => Next::Answer(status_only(StatusCode::BAD_GATEWAY)),
+        }
+    }
+
+    /// True if the request may reach one more target.
+    fn may_send_further(&self, service: &ServiceName) -> bool {
+        let slack = self.relay.resend_slack();
+        let now = Instant::now().into_std();
+        self.arrivals < self.request.route.max_sends
+            && self
+                .relay
+                .with_service(service, |state| state.resends.try_spend(slack, now))
+    }
+
+    /// The answer where no further target takes the request: that it did not run, unless a
+    /// send before may have run.
+    fn give_up(&self, refusal: &Refusal) -> Response<Payload> {
+        if self.may_have_run {
+            return status_only(StatusCode::BAD_GATEWAY);
+        }
+        refused(refusal.retry_after)
+    }
+
+    fn class(&self) -> model::Class {
+        let own = class_of(self.request.route.priority);
+        self.request.parent.map_or(own, |run| run.class)
+    }
+
+    fn hop(&self, target: &Target, now: Instant) -> Hop {
+        let attempt = u16::try_from(self.arrivals).unwrap_or(u16::MAX);
+        let repeated = self.request.parent.is_some_and(|run| run.repeated);
+        Hop {
+            class: self.class(),
+            worth: if self.request.parent.is_some() {
+                CALL_WORTH
+            } else {
+                ROOT_WORTH
+            },
+            shed_hash: self.request.shed_hash,
+            attempt: attempt.max(u16::from(repeated)),
+            time_left: self.request.deadline.saturating_duration_since(now),
+            target: InstanceId::clone(&target.id),
+            route: self.request.route.name.clone(),
+        }
+    }
+}
+
+/// One call that the router counts until its end is told.
+struct Call<'a> {
+    relay: &'a Relay,
+    service: &'a ServiceName,
+    key: InstanceKey,
+    began: Instant,
+    open: bool,
+}
+
+impl Call<'_> {
+    fn finish(&mut self, end: CallEnd, load: Option<Load>) {
+        self.open = false;
+        let now = Instant::now();
+        let latency = now.saturating_duration_since(self.began);
+        self.relay.with_service(self.service, |state| {
+            state
+                .router
+                .finish(self.key, end, latency, load, now.into_std());
+        });
+    }
+}
+
+impl Drop for Call<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            self.finish(CallEnd::Cancelled, None);
+        }
+    }
+}
+
+fn call_end(ended: &Ended) -> CallEnd {
+    match ended {
+        Ended::Answered { .. } => CallEnd::Answered,
+        Ended::NotRun { refusal, .. } => CallEnd::NotRun(refusal.reason),
+        Ended::Unknown { .. } => CallEnd::Unknown,
+    }
+}
+
+/// The head as it is passed on.
+fn prepared(relay: &Relay, mut head: Parts) -> Parts {
+    strip_connection(&mut head.headers);
+    head.headers.remove(HOP);
+    if let Ok(service) = HeaderValue::from_str(relay.cfg.service.as_str()) {
+        head.headers
+            .insert(relay.names.origin_service.clone(), service);
+    }
+    head
+}
+
+/// The one host that a request names.
+fn host(head: &Parts) -> Option<&str> {
+    let mut values = head.headers.get_all(header::HOST).iter();
+    let named = values.next()?.to_str().ok()?;
+    if values.next().is_some() || named.is_empty() {
+        return None;
+    }
+    Some(head.uri.host().unwrap_or(named))
+}
+
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn time_left(headers: &HeaderMap, name: &http::HeaderName) -> Option<Duration> {
+    let value = headers.get(name)?;
+    let millis = value.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
+/// Tells that a request did not run, and when to come back.
+fn refused(retry_after: Duration) -> Response<Payload> {
+    let mut res = status_only(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        res.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    res
+}
+
+fn status_only(status: StatusCode) -> Response<Payload> {
+    let mut res = Response::new(Payload::empty());
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,246 @@
+//! What the parts of one daemon share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use model::{Class, InstanceId, ServiceName};
+use policy::{
+    Candidate, GateConfig, ResendBudget, Router, RouterConfig, RunKey, Runs, Standing,
+};
+use routes::{RouteTable, Split, Target, TargetState, Targets};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::admission::Admission;
+use crate::links::Links;
+use crate::names::HeaderNames;
+use crate::settings::Settings;
+
+/// Slots that a target is taken to have until its entry is known: few enough for any.
+const UNKNOWN_SLOTS: u32 = 16;
+/// Waiters for each slot of the target.
+const QUEUE_PER_SLOT: u32 = 4;
+/// Targets of one service that are called in the own data centre, and as many elsewhere.
+const SUBSET: usize = 16;
+
+/// How far the daemon is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Serving,
+    /// Told to stop: takes no work for its target and says on each answer that it closes.
+    Leaving,
+}
+
+/// The state of one daemon.
+pub(crate) struct Relay {
+    pub(crate) cfg: Settings,
+    pub(crate) names: HeaderNames,
+    pub(crate) links: Links,
+    pub(crate) admission: Rc<Admission>,
+    pub(crate) runs: RefCell<Runs>,
+    pub(crate) phase: Cell<Phase>,
+    /// Requests that began here or run beside it and have no whole answer yet.
+    pub(crate) in_flight: Cell<usize>,
+    pub(crate) view: RefCell<View>,
+    pub(crate) services: RefCell<HashMap<ServiceName, ServiceState>>,
+    splits: RefCell<HashMap<SmolStr, Split>>,
+}
+
+/// What is known of the published states.
+pub(crate) struct View {
+    pub(crate) table: Option<Rc<RouteTable>>,
+    pub(crate) targets: Targets,
+}
+
+/// What this daemon keeps of one service that it calls.
+pub(crate) struct ServiceState {
+    pub(crate) router: Router,
+    pub(crate) resends: ResendBudget,
+}
+
+impl Relay {
+    pub(crate) fn new(cfg: Settings, names: HeaderNames) -> Rc<Self> {
+        let now = Instant::now();
+        let gate = gate_config(UNKNOWN_SLOTS, u32::MAX);
+        Rc::new(Relay {
+            cfg,
+            names,
+            links: Links::default(),
+            admission: Admission::new(gate, now),
+            runs: RefCell::new(Runs::default()),
+            phase: Cell::new(Phase::Serving),
+            in_flight: Cell::new(0),
+            view: RefCell::new(View {
+                table: None,
+                targets: Targets::default(),
+            }),
+            services: RefCell::new(HashMap::new()),
+            splits: RefCell::new(HashMap::new()),
+        })
+    }
+
+    /// The configuration in force.
+    pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+        self.view.borrow().table.clone()
+    }
+
+    /// The entry of the target beside this daemon.
+    pub(crate) fn own_target(&self) -> Option<Target> {
+        let view = self.view.borrow();
+        let own = view.targets.at(self.cfg.target, &self.cfg.service);
+        own.cloned()
+    }
+
+    pub(crate) fn set_table(&self, table: RouteTable) {
+        let kept = |name: &SmolStr| table.routes().iter().any(|route| route.name == *name);
+        self.splits.borrow_mut().retain(|name, _| kept(name));
+        self.view.borrow_mut().table = Some(Rc::new(table));
+        self.refresh_gate();
+    }
+
+    pub(crate) fn set_targets(&self, targets: Targets) {
+        self.view.borrow_mut().targets = targets;
+        self.refresh_gate();
+        let names: Vec<ServiceName> = self.services.borrow().keys().cloned().collect();
+        for name in names {
+            let candidates = self.candidates(&name);
+            let now = Instant::now().into_std();
+            if let Some(state) = self.services.borrow_mut().get_mut(&name) {
+                state.router.update(&candidates, now);
+            }
+        }
+    }
+
+    /// Applies a function to what is kept of a service.
+    pub(crate) fn with_service<T>(
+        &self,
+        name: &ServiceName,
+        f: impl FnOnce(&mut ServiceState) -> T,
+    ) -> T {
+        if let Some(state) = self.services.borrow_mut().get_mut(name) {
+            return f(state);
+        }
+        let candidates = self.candidates(name);
+        let now = Instant::now().into_std();
+        let own = InstanceId::from(self.cfg.name.clone());
+        let router_cfg = RouterConfig {
+            own,
+            data_centre: self.cfg.data_centre.clone(),
+            subset: SUBSET,
+        };
+        let mut router = Router::new(router_cfg, rand::random(), now);
+        router.update(&candidates, now);
+        let bounds = &self.cfg.bounds;
+        let resends = ResendBudget::new(bounds.retry_ratio, bounds.retry_window, now);
+        let mut state = ServiceState { router, resends };
+        let result = f(&mut state);
+        self.services.borrow_mut().insert(name.clone(), state);
+        result
+    }
+
+    /// The share of a route that takes the next request.
+    pub(crate) fn next_share(&self, route: &routes::Route) -> Option<ServiceName> {
+        let mut splits = self.splits.borrow_mut();
+        let split = match splits.get_mut(&route.name) {
+            Some(split) => split,
+            None => splits.entry(route.name.clone()).or_default(),
+        };
+        let index = split.next(&route.shares)?;
+        Some(route.shares[index].service.clone())
+    }
+
+    /// This daemon's part of the further sends that the fleet may add in a window.
+    pub(crate) fn resend_slack(&self) -> f64 {
+        let daemons = u32::try_from(self.view.borrow().targets.len()).unwrap_or(u32::MAX);
+        self.cfg.bounds.retry_slack / f64::from(daemons.max(1))
+    }
+
+    /// Address of the daemon beside a target.
+    pub(crate) fn daemon_of(&self, target: &Target) -> SocketAddr {
+        SocketAddr::new(target.address.ip(), self.cfg.listen.mesh.port())
+    }
+
+    fn candidates(&self, service: &ServiceName) -> Vec<Candidate> {
+        let view = self.view.borrow();
+        let candidate = |target: &Target| Candidate {
+            id: target.id.clone(),
+            data_centre: target.data_centre.clone(),
+            standing: match target.state {
+                TargetState::Ready => Standing::Live,
+                TargetState::Draining => Standing::Leaving,
+            },
+        };
+        view.targets.of(service).map(candidate).collect()
+    }
+
+    /// Sizes the gate by the own target's entry.
+    fn refresh_gate(&self) {
+        let own = self.own_target();
+        let slots = own.map_or(UNKNOWN_SLOTS, |target| target.slots);
+        let table = self.table();
+        let service = table
+            .as_ref()
+            .and_then(|table| table.service(&self.cfg.service));
+        let connections = service.map_or(u32::MAX, |service| service.max_connections);
+        let gate = gate_config(slots, connections);
+        self.admission.reconfigure(gate, Instant::now());
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct InFlight(Rc<Relay>);
+
+impl InFlight {
+    pub(crate) fn new(relay: &Rc<Relay>) -> Self {
+        relay.in_flight.set(relay.in_flight.get() + 1);
+        InFlight(Rc::clone(relay))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Counts as a run of the own target until it is dropped.
+pub(crate) struct RunGuard {
+    relay: Rc<Relay>,
+    key: RunKey,
+}
+
+impl RunGuard {
+    pub(crate) fn new(relay: &Rc<Relay>, run: policy::Run) -> Self {
+        let key = relay.runs.borrow_mut().begin(run);
+        RunGuard {
+            relay: Rc::clone(relay),
+            key,
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.relay.runs.borrow_mut().end(self.key);
+    }
+}
+
+/// Class of a route's rank, of which 0 is the most urgent.
+pub(crate) fn class_of(priority: u32) -> Class {
+    match priority {
+        0 => Class::Critical,
+        1 => Class::Standard,
+        2 => Class::Browse,
+        _ => Class::Bulk,
+    }
+}
+
+fn gate_config(slots: u32, connections: u32) -> GateConfig {
+    GateConfig::new(slots)
+        .with_connections(connections)
+        .with_queue(slots.saturating_mul(QUEUE_PER_SLOT))
+        .with_adaptive(false)
+        .with_slow_start(false)
+}
--- /dev/null
+++ b/crates/relay/src/start.rs
@@ -0,0 +1,78 @@
+//! Starting and stopping one daemon.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::error::Error;
+use crate::listen::{self, Side};
+use crate::names::HeaderNames;
+use crate::relay::{Phase, Relay};
+use crate::settings::Settings;
+use crate::source::Source;
+use crate::sync;
+
+/// Time between two looks for connections that have been idle for too long.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time from the signal to stop in which callers learn that they are to go elsewhere: two
+/// looks at the readiness, one a second, and one more for those under way.
+const FAREWELL: Duration = Duration::from_millis(2_500);
+/// Part of the grace after which the process ends whatever is in flight, before it is killed.
+const GRACE_PART: f64 = 0.95;
+/// Time between two looks whether anything is in flight, while leaving.
+const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Runs one daemon until it is told to stop and has ended what is in flight.
+///
+/// Call it within a [`tokio::task::LocalSet`].
+///
+/// # Errors
+///
+/// If it can't listen on one of its addresses.
+pub async fn run(
+    cfg: Settings,
+    names: HeaderNames,
+    source: Source,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let listeners = [
+        (listen::bind(cfg.listen.outbound)?, Side::Outbound),
+        (listen::bind(cfg.listen.mesh)?, Side::Mesh),
+        (listen::bind(cfg.listen.ready)?, Side::Ready),
+    ];
+    log::info!(name = cfg.name.as_str(), service = cfg.service.as_str(); "started");
+    let grace = cfg.bounds.grace;
+    let relay = Relay::new(cfg, names);
+    let source = Rc::new(source);
+    for (listener, side) in listeners {
+        tokio::task::spawn_local(listen::accept(Rc::clone(&relay), listener, side));
+    }
+    tokio::task::spawn_local(sync::follow_table(Rc::clone(&relay), Rc::clone(&source)));
+    tokio::task::spawn_local(sync::follow_targets(Rc::clone(&relay), source));
+    tokio::task::spawn_local(Rc::clone(&relay.admission).keep_time());
+    tokio::task::spawn_local(close_idle(Rc::clone(&relay)));
+    stop.await;
+    let told = Instant::now();
+    relay.phase.set(Phase::Leaving);
+    log::info!(in_flight = relay.in_flight.get(); "leaving");
+    sleep_until(told + FAREWELL).await;
+    let left = grace.mul_f64(GRACE_PART).saturating_sub(FAREWELL);
+    let emptied = timeout(left, empty(&relay)).await.is_ok();
+    log::info!(emptied, in_flight = relay.in_flight.get(); "stopped");
+    Ok(())
+}
+
+/// Returns when nothing is in flight.
+async fn empty(relay: &Relay) {
+    while relay.in_flight.get() > 0 {
+        sleep(LEAVING_CHECK_INTERVAL).await;
+    }
+}
+
+async fn close_idle(relay: Rc<Relay>) {
+    loop {
+        sleep(IDLE_CHECK_INTERVAL).await;
+        relay.links.close_idle(Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/routes/src/lib.rs
@@ -0,0 +1,50 @@
+/*!
+Which service a request goes to, how it may be handled there, and which targets serve it.
+
+A [`RouteTable`] is one version of the operators' configuration; [`Targets`] is what is known
+of the targets that register themselves. Both are plain data: nothing here does I/O or reads
+a clock.
+
+```
+use std::time::Duration;
+
+use routes::{Limits, Repeat, Route, RouteTable, Share};
+
+let route = Route {
+    name: "bookings".into(),
+    host: "desk.example".into(),
+    prefix: "/bookings/".into(),
+    repeat: Repeat::AtMostOnce,
+    shares: vec![Share { service: "reservas".into(), weight: 1 }],
+    timeout: Duration::from_millis(800),
+    target_latency: Duration::from_millis(300),
+    priority: 0,
+    max_sends: 2,
+};
+let table = RouteTable::new(7, vec![route], Vec::new(), Limits::default());
+let key = table.find("desk.example", "/bookings/12").expect("the prefix matches");
+assert_eq!(table.route(key).name, "bookings");
+assert!(table.find("desk.example", "/bookings").is_none());
+```
+
+# Sections
+
+* [`table`]: routes by host and longest prefix
+* [`route`]: one route and what it promises
+* [`split`]: distribution of a route's requests by weight
+* [`roster`]: which of the listed targets are still there
+* [`target`]: targets that registered themselves
+*/
+#![deny(missing_docs)]
+
+pub mod roster;
+pub mod route;
+pub mod split;
+pub mod table;
+pub mod target;
+
+pub use crate::roster::Roster;
+pub use crate::route::{Limits, Repeat, Route, Service, Share};
+pub use crate::split::Split;
+pub use crate::table::{RouteKey, RouteTable};
+pub use crate::target::{Target, TargetState, Targets};
--- /dev/null
+++ b/crates/routes/src/table.rs
@@ -0,0 +1,111 @@
+//! Routes by host and longest prefix.
+
+use std::collections::{HashMap, HashSet};
+
+use model::ServiceName;
+use smol_str::SmolStr;
+
+use crate::route::{Limits, Route, Service};
+
+/// Index of a route in its table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RouteKey(u32);
+
+impl RouteKey {
+    /// Position in the table's list of routes.
+    #[must_use]
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// One version of the operators' configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteTable {
+    version: u64,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    limits: Limits,
+    /// Routes of each host, the longest prefix first.
+    by_host: HashMap<SmolStr, Vec<RouteKey>>,
+}
+
+impl RouteTable {
+    /// Creates the table of one version; hosts are compared in lower case.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        mut routes: Vec<Route>,
+        services: Vec<Service>,
+        limits: Limits,
+    ) -> Self {
+        let mut by_host: HashMap<SmolStr, Vec<RouteKey>> = HashMap::new();
+        for (index, route) in routes.iter_mut().enumerate() {
+            let key = RouteKey(u32::try_from(index).unwrap_or(u32::MAX));
+            route.host = route.host.to_ascii_lowercase().into();
+            by_host.entry(route.host.clone()).or_default().push(key);
+        }
+        for keys in by_host.values_mut() {
+            keys.sort_by_key(|key| std::cmp::Reverse(routes[key.index()].prefix.len()));
+        }
+        RouteTable {
+            version,
+            routes,
+            services,
+            limits,
+            by_host,
+        }
+    }
+
+    /// Version; a higher one replaces a lower one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What callers may send.
+    #[must_use]
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// All routes; a [`RouteKey`] is an index here.
+    #[must_use]
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// The route behind a key of this table.
+    #[must_use]
+    pub fn route(&self, key: RouteKey) -> &Route {
+        &self.routes[key.index()]
+    }
+
+    /// What the operators say of a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == *name)
+    }
+
+    /// Finds the route with the longest prefix that begins the path.
+    ///
+    /// A port in the host is ignored.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
+        let host = host.split(':').next().unwrap_or(host);
+        let keys = if host.bytes().any(|b| b.is_ascii_uppercase()) {
+            self.by_host.get(host.to_ascii_lowercase().as_str())
+        } else {
+            self.by_host.get(host)
+        };
+        let begins = |key: &&RouteKey| path.starts_with(self.route(**key).prefix.as_str());
+        keys?.iter().find(begins).copied()
+    }
+
+    /// Names of all services that a route sends to, each once.
+    #[must_use]
+    pub fn destinations(&self) -> HashSet<&ServiceName> {
+        let shares = self.routes.iter().flat_map(|route| &route.shares);
+        shares.map(|share| &share.service).collect()
+    }
+}
--- /dev/null
+++ b/crates/routes/src/target.rs
@@ -0,0 +1,96 @@
+//! Targets that registered themselves.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use model::{DataCentre, InstanceId, ServiceName};
+
+/// What a target says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum TargetState {
+    /// Takes work.
+    Ready,
+    /// Takes no new work and ends soon.
+    Draining,
+}
+
+/// One registered target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Name of its present life, or of several where it starts again under its name.
+    pub id: InstanceId,
+    /// The service that it runs.
+    pub service: ServiceName,
+    /// Where it listens; its daemon runs at the same IP address.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// What it says of itself.
+    pub state: TargetState,
+    /// Time for which it stays slow after its start.
+    pub cold: Duration,
+    /// Unix millisecond of its start; 0 if it doesn't tell.
+    pub born_ms: u64,
+    /// Counter of its reports, starting anew with each start.
+    pub report: u64,
+}
+
+/// The targets known at one moment, by id.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Targets {
+    by_id: HashMap<InstanceId, Target>,
+}
+
+impl Targets {
+    /// All targets of a service.
+    pub fn of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Target> {
+        let targets = self.by_id.values();
+        targets.filter(move |target| target.service == *service)
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.by_id.values()
+    }
+
+    /// Number of targets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// True if no target is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// The target of a given id.
+    #[must_use]
+    pub fn get(&self, id: &InstanceId) -> Option<&Target> {
+        self.by_id.get(id)
+    }
+
+    /// The target that listens at an address for a service: the one that was started last,
+    /// where entries of earlier ones are still listed.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr, service: &ServiceName) -> Option<&Target> {
+        let here = |target: &&Target| target.address == address && target.service == *service;
+        let mut found = self.by_id.values().filter(here).collect::<Vec<_>>();
+        found.sort_by_key(|target| (target.born_ms, target.state == TargetState::Ready));
+        found.pop()
+    }
+}
+
+impl FromIterator<Target> for Targets {
+    fn from_iter<I: IntoIterator<Item = Target>>(targets: I) -> Self {
+        let by_id = targets
+            .into_iter()
+            .map(|target| (target.id.clone(), target))
+            .collect();
+        Targets { by_id }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/hop.rs
@@ -0,0 +1,110 @@
+//! What daemons tell each other about one forwarded request and its answer.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use http::HeaderName;
+use model::{Class, InstanceId, Outcome, RefusalReason};
+use smol_str::SmolStr;
+
+/// Carries a [`Hop`] on a request between daemons.
+pub const HOP: HeaderName = HeaderName::from_static("berylhead-hop");
+/// Carries a [`HopEnd`] on its answer.
+pub const HOP_END: HeaderName = HeaderName::from_static("berylhead-hop-end");
+
+/// Stands for a field without a value.
+const NONE: &str = "-";
+
+/// How one forwarded request is to be handled beside its target.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display(
+    "{class} {worth} {shed_hash:016x} {attempt} {} {target} {route}",
+    time_left.as_micros()
+)]
+pub struct Hop {
+    /// Importance of the root request.
+    pub class: Class,
+    /// Rank among the requests of one class.
+    pub worth: u32,
+    /// Hash of the root request, by which all hops choose the same victims.
+    pub shed_hash: u64,
+    /// Number of earlier sends of this request.
+    pub attempt: u16,
+    /// Time until the answer is of no more use.
+    pub time_left: Duration,
+    /// The target that was chosen; another life of it must not run the request.
+    pub target: InstanceId,
+    /// The route by which it came.
+    pub route: SmolStr,
+}
+
+/// How one forwarded request ended beside its target.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display(
+    "{outcome} {} {} {} {}",
+    if *reached_target { "target" } else { NONE },
+    reason.map_or_else(|| NONE.to_owned(), |reason| reason.to_string()),
+    retry_after.as_millis(),
+    load.as_deref().unwrap_or(NONE)
+)]
+pub struct HopEnd {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// True if it was the target that refused it.
+    pub reached_target: bool,
+    /// Why it was refused.
+    pub reason: Option<RefusalReason>,
+    /// When another one may be admitted.
+    pub retry_after: Duration,
+    /// Load beside the target, as text.
+    pub load: Option<SmolStr>,
+}
+
+/// A header between daemons that can't be read.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("malformed header between daemons: {field}")]
+pub struct MalformedHop {
+    field: &'static str,
+}
+
+impl FromStr for Hop {
+    type Err = MalformedHop;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut fields = text.splitn(7, ' ');
+        let mut next = |field| fields.next().ok_or(MalformedHop { field });
+        Ok(Hop {
+            class: parsed(next("class")?, "class")?,
+            worth: parsed(next("worth")?, "worth")?,
+            shed_hash: u64::from_str_radix(next("hash")?, 16)
+                .map_err(|_| MalformedHop { field: "hash" })?,
+            attempt: parsed(next("attempt")?, "attempt")?,
+            time_left: Duration::from_micros(parsed(next("time left")?, "time left")?),
+            target: next("target")?.into(),
+            route: next("route")?.into(),
+        })
+    }
+}
+
+impl FromStr for HopEnd {
+    type Err = MalformedHop;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut fields = text.splitn(5, ' ');
+        let mut next = |field| fields.next().ok_or(MalformedHop { field });
+        Ok(HopEnd {
+            outcome: Outcome::parse(next("outcome")?).ok_or(MalformedHop { field: "outcome" })?,
+            reached_target: next("reached")? != NONE,
+            reason: RefusalReason::parse(next("reason")?),
+            retry_after: Duration::from_millis(parsed(next("retry after")?, "retry after")?),
+            load: Some(next("load")?)
+                .filter(|text| *text != NONE)
+                .map(Into::into),
+        })
+    }
+}
+
+fn parsed<T: FromStr>(text: &str, field: &'static str) -> Result<T, MalformedHop> {
+    text.parse().map_err(|_| MalformedHop { field })
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 * [`header`]: names of the headers
 * [`parse`]: bounded reading of the headers that anybody may send
 * [`context`]: the context that one daemon passes to the next
+* [`hop`]: one forwarded request between daemons
 * [`error`]: a header that could not be read
 */
 #![deny(missing_docs)]
@@ -24,7 +25,9 @@
 pub mod control;
 pub mod error;
 pub mod header;
+pub mod hop;
 pub mod parse;
 
 pub use crate::context::{CallContext, ExecutionId};
 pub use crate::error::Error;
+pub use crate::hop::{Hop, HopEnd, MalformedHop};
--- /dev/null
+++ b/crates/wire/tests/hop.rs
@@ -0,0 +1,63 @@
+//! Headers between daemons read back as they were written.
+
+use std::time::Duration;
+
+use model::{Class, Outcome, RefusalReason};
+use wire::{Hop, HopEnd};
+
+fn hop() -> Hop {
+    Hop {
+        class: Class::Critical,
+        worth: 40,
+        shed_hash: 0xfeed,
+        attempt: 1,
+        time_left: Duration::from_micros(1_234_567),
+        target: "i-7f".into(),
+        route: "bookings of clubs".into(),
+    }
+}
+
+#[test]
+fn a_hop_reads_back() {
+    let text = hop().to_string();
+    insta::assert_snapshot!(text, @"critical 40 000000000000feed 1 1234567 i-7f bookings of clubs");
+    assert_eq!(text.parse(), Ok(hop()));
+}
+
+#[test]
+fn ends_read_back() {
+    let refused = HopEnd {
+        outcome: Outcome::NotRun,
+        reached_target: true,
+        reason: Some(RefusalReason::Overloaded),
+        retry_after: Duration::from_millis(250),
+        load: Some("1,2,3,4,bulk".into()),
+    };
+    insta::assert_snapshot!(refused.to_string(), @"not-run target overloaded 250 1,2,3,4,bulk");
+    assert_eq!(refused.to_string().parse(), Ok(refused));
+    let answered = HopEnd {
+        outcome: Outcome::Answered,
+        reached_target: false,
+        reason: None,
+        retry_after: Duration::ZERO,
+        load: None,
+    };
+    insta::assert_snapshot!(answered.to_string(), @"answered - - 0 -");
+    assert_eq!(answered.to_string().parse(), Ok(answered));
+}
+
+#[test]
+fn what_is_malformed_names_its_field() {
+    let cases = [
+        ("", "class"),
+        ("urgent 1 0 0 0 i r", "class"),
+        ("bulk -1 0 0 0 i r", "worth"),
+        ("bulk 1 zz 0 0 i r", "hash"),
+        ("bulk 1 0 0 x i r", "time left"),
+        ("bulk 1 0 0 0 i", "route"),
+    ];
+    for (text, field) in cases {
+        let error = text.parse::<Hop>().expect_err(text).to_string();
+        assert!(error.ends_with(field), "{text:?}: {error}");
+    }
+}
