Refuse roots at the edge by what the deepest service can bear

Change: policy::Levels and LevelControl (least rank a target bears, from work over limit), told with each answer together with where routes lead (policy::Leads, learned from the target's calls); roots below the level are refused before they run. Router: Choice::Completion, by expected cost over all data centres. A fourteenth of the slots stays free.

--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -294,11 +294,10 @@
     }
 
     fn router_config(&self) -> RouterConfig {
-        RouterConfig {
-            own: self.identity.id.clone(),
-            data_centre: self.identity.data_centre.clone(),
-            subset: SUBSET,
-        }
+        let Identity {
+            id, data_centre, ..
+        } = &self.identity;
+        RouterConfig::new(id.clone(), data_centre.clone(), SUBSET)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/policy/src/candidate.rs
+++ b/crates/policy/src/candidate.rs
@@ -1,5 +1,7 @@
 //! What a router is told of instances and what it answers.
 
+use std::time::Duration;
+
 use model::{DataCentre, InstanceId, Refusal, RefusalReason};
 use slotmap::new_key_type;
 
@@ -39,6 +41,39 @@
     pub data_centre: DataCentre,
     /// Instances to call in its own data centre, and as many in all others.
     pub subset: usize,
+    /// What decides between instances.
+    pub choice: Choice,
+    /// Time for which an instance's own word that it leaves is believed while it is still
+    /// listed as live: then it has been started again under its name.
+    pub leaving_life: Duration,
+}
+
+impl RouterConfig {
+    /// The usual settings of a daemon.
+    #[must_use]
+    pub fn new(own: InstanceId, data_centre: DataCentre, subset: usize) -> Self {
+        /// Longer than an instance takes to leave.
+        const LEAVING_LIFE: Duration = Duration::from_secs(30);
+
+        RouterConfig {
+            own,
+            data_centre,
+            subset,
+            choice: Choice::default(),
+            leaving_life: LEAVING_LIFE,
+        }
+    }
+}
+
+/// What decides between the instances of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Choice {
+    /// The own data centre until it reports no free slot; failing instances are left alone.
+    #[default]
+    NearFirst,
+    /// The least expected cost until the answer, over all data centres; what instances shed
+    /// is left to them.
+    Completion,
 }
 
 /// Answer to one question for an instance.
@@ -58,6 +93,8 @@
     Answered,
     /// The instance's daemon refused the call.
     NotRun(RefusalReason),
+    /// The target itself refused the call.
+    TargetRefused,
     /// The call broke off.
     Unknown,
     /// No answer came in a time that was long enough.
@@ -65,3 +102,15 @@
     /// The caller went away or left too little time, which says nothing of the instance.
     Cancelled,
 }
+
+impl CallEnd {
+    /// Whether the instance failed the call; `None` if the end says nothing of the instance.
+    pub(crate) fn is_failure(self) -> Option<bool> {
+        match self {
+            CallEnd::Answered => Some(false),
+            CallEnd::NotRun(reason) => reason.is_about_instance().then_some(true),
+            CallEnd::TargetRefused | CallEnd::Unknown | CallEnd::Late => Some(true),
+            CallEnd::Cancelled => None,
+        }
+    }
+}
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Mean time of a run; zero until one has ended.
+    #[must_use]
+    pub fn mean_run(&self) -> Duration {
+        self.times.mean()
+    }
+
     fn start(&mut self, work: &Work, now: Instant) -> Permit {
         let waited = now.saturating_duration_since(work.arrived);
         self.overload.started(work.class, waited, now);
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -5,15 +5,13 @@
 use model::{Class, DataCentre, InstanceId};
 
 use crate::candidate::{Candidate, Standing};
+use crate::completion::Trouble;
 use crate::eject::{FULL_SHARE, Health};
 use crate::load::Load;
 use crate::scale::{ewma, micros};
 
 /// Age after which a reported load is no longer believed.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
-/// Age after which an instance that said it leaves and is still listed as live is
-/// taken for one that was started again under its name.
-const LEAVING_LIFE: Duration = Duration::from_secs(30);
 /// Slots that an instance without a fresh report is taken to have free.
 const UNKNOWN_FREE: u32 = 1;
 /// Slots for which one waiter counts against staying: its own and that of the next call,
@@ -37,6 +35,11 @@
     latency_us: u64,
     answered_at: Option<Instant>,
     load: Option<(Load, Instant)>,
+    /// Own calls since the last report; it doesn't count them.
+    sent_since_report: u32,
+    /// Mean time of a run there, as reported.
+    pub(crate) run_time: Option<Duration>,
+    pub(crate) trouble: Trouble,
 }
 
 impl Instance {
@@ -52,6 +55,9 @@
             latency_us: 0,
             answered_at: None,
             load: None,
+            sent_since_report: 0,
+            run_time: None,
+            trouble: Trouble::default(),
         }
     }
 
@@ -64,14 +70,19 @@
     }
 
     /// Takes over what the view says; an instance that comes back is used slowly.
-    pub(crate) fn set_standing(&mut self, standing: Standing, now: Instant) {
+    pub(crate) fn set_standing(
+        &mut self,
+        standing: Standing,
+        leaving_life: Duration,
+        now: Instant,
+    ) {
         let returns = self.standing != Standing::Live && standing == Standing::Live;
         if returns {
             self.health = Health::ramping(now);
         }
         let word_expired = self
             .told_leaving
-            .is_some_and(|at| now.saturating_duration_since(at) >= LEAVING_LIFE);
+            .is_some_and(|at| now.saturating_duration_since(at) >= leaving_life);
         if returns || word_expired {
             self.told_leaving = None;
         }
@@ -86,6 +97,29 @@
 
     pub(crate) fn report(&mut self, load: Load, now: Instant) {
         self.load = Some((load, now));
+        self.sent_since_report = 0;
+    }
+
+    /// Counts one more call there.
+    pub(crate) fn sent(&mut self) {
+        self.in_flight += 1;
+        self.sent_since_report = self.sent_since_report.saturating_add(1);
+    }
+
+    /// Calls that run or wait there, as far as is known: what was reported and sent since,
+    /// and at least the own ones.
+    pub(crate) fn taken(&self, now: Instant) -> u32 {
+        let reported = self.fresh_load(now).map_or(0, |load| {
+            load.in_flight
+                .saturating_add(load.queued)
+                .saturating_add(self.sent_since_report)
+        });
+        reported.max(self.in_flight)
+    }
+
+    /// The load that was reported last, however old.
+    pub(crate) fn last_load(&self) -> Option<&Load> {
+        self.load.as_ref().map(|(load, _)| load)
     }
 
     pub(crate) fn answered(&mut self, latency: Duration, now: Instant) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,8 @@
 * [`gate`]: admission to one target: limit, queue, order of shedding
 * [`settings`]: what a gate is built from
 * [`work`]: what is offered to a gate and what comes back
+* [`leads`]: where requests of a route lead, learned from their calls
+* [`level`]: which root requests the scarcest service on their way can bear
 * [`load`]: what a daemon tells others about its load
 * [`budget`]: retries that one request may cost over its whole tree
 * [`children`]: retries of one run, shared among the calls that it makes
@@ -54,6 +56,8 @@
 pub mod children;
 pub mod edge;
 pub mod gate;
+pub mod leads;
+pub mod level;
 pub mod load;
 pub mod resend;
 pub mod router;
@@ -61,6 +65,7 @@
 pub mod settings;
 pub mod work;
 
+mod completion;
 mod eject;
 mod expiry;
 mod headroom;
@@ -76,10 +81,14 @@
 pub use crate::acceptance::{Acceptance, EdgeCall, Room};
 pub use crate::answer_time::AnswerTime;
 pub use crate::budget::{Loan, RetryBudget};
-pub use crate::candidate::{CallEnd, Candidate, InstanceKey, Pick, RouterConfig, Standing};
+pub use crate::candidate::{
+    CallEnd, Candidate, Choice, InstanceKey, Pick, RouterConfig, Standing,
+};
 pub use crate::children::ChildRetries;
 pub use crate::edge::EdgeRetries;
 pub use crate::gate::Gate;
+pub use crate::leads::Leads;
+pub use crate::level::{Level, LevelControl, Levels, Rank};
 pub use crate::load::{Load, MalformedLoad};
 pub use crate::resend::ResendBudget;
 pub use crate::router::Router;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -9,7 +9,10 @@
 use slotmap::SlotMap;
 
 use crate::acceptance::Room;
-use crate::candidate::{CallEnd, Candidate, InstanceKey, Pick, RouterConfig, Standing};
+use crate::candidate::{
+    CallEnd, Candidate, Choice, InstanceKey, Pick, RouterConfig, Standing,
+};
+use crate::completion::{Scale, cost};
 use crate::eject::{FULL_SHARE, Health, may_eject};
 use crate::instance::Instance;
 use crate::load::Load;
@@ -62,7 +65,7 @@
             };
             let instance = &mut self.instances[key];
             instance.data_centre = candidate.data_centre.clone();
-            instance.set_standing(candidate.standing, now);
+            instance.set_standing(candidate.standing, self.cfg.leaving_life, now);
             self.keys.insert(candidate.id.clone(), key);
         }
         for key in known.into_values() {
@@ -76,7 +79,7 @@
         let chosen = self.choose(class, exclude, now);
         match chosen {
             Ok(key) => {
-                self.instances[key].in_flight += 1;
+                self.instances[key].sent();
                 Pick::Chosen(key)
             }
             Err(refusal) => Pick::Refuse(refusal),
@@ -99,6 +102,9 @@
         if let Some(load) = load {
             instance.report(load, now);
         }
+        if let Some(failed) = end.is_failure() {
+            instance.trouble.record(failed, now);
+        }
         match end {
             CallEnd::Answered => instance.answered(latency, now),
             CallEnd::NotRun(RefusalReason::Leaving) => {
@@ -108,7 +114,14 @@
             CallEnd::NotRun(RefusalReason::NoInstance | RefusalReason::NotReady)
             | CallEnd::Unknown
             | CallEnd::Late => self.failed(key, now),
-            CallEnd::NotRun(_) | CallEnd::Cancelled => {}
+            CallEnd::NotRun(_) | CallEnd::TargetRefused | CallEnd::Cancelled => {}
+        }
+    }
+
+    /// Takes note of the mean time of a run that an instance reports.
+    pub fn report_run_time(&mut self, key: InstanceKey, time: Duration) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.run_time = Some(time).filter(|time| !time.is_zero());
         }
     }
 
@@ -199,6 +212,12 @@
             exclude,
             now,
         };
+        if self.cfg.choice == Choice::Completion {
+            return self
+                .soonest(call)
+                .or_else(|| self.draw(List::Suspect, call))
+                .ok_or_else(|| self.refusal(call));
+        }
         let near = self.draw(List::Near, call);
         if let Some(key) = near
             && self.instances[key].free(now) != Some(0)
@@ -212,6 +231,38 @@
             .ok_or_else(|| self.refusal(call))
     }
 
+    /// The instance with the least cost among those of the own data centre and a few others.
+    ///
+    /// Not all others are looked at, so that daemons with the same view don't all turn to the
+    /// same instance. One that ramps up and has had its share is passed over.
+    fn soonest(&mut self, call: Call<'_>) -> Option<InstanceKey> {
+        /// Instances of other data centres that are looked at.
+        const FAR_LOOKS: usize = 2;
+
+        let admits = |key: &&InstanceKey| !call.exclude.contains(key);
+        let far: Vec<InstanceKey> = self.far.iter().filter(admits).copied().collect();
+        let mut looked: Vec<(InstanceKey, bool)> = self
+            .near
+            .iter()
+            .filter(admits)
+            .map(|&key| (key, true))
+            .collect();
+        for index in rand::seq::index::sample(&mut self.rng, far.len(), FAR_LOOKS.min(far.len())) {
+            looked.push((far[index], false));
+        }
+        let at = self.rng.random_range(0..FULL_SHARE);
+        let instances = &self.instances;
+        let scale = Scale::of(instances.values());
+        let best = |in_turn: bool| {
+            looked
+                .iter()
+                .filter(|(key, _)| !in_turn || at < instances[*key].health.share(call.now))
+                .min_by_key(|(key, near)| cost(&instances[*key], *near, scale, call.now))
+                .map(|(key, _)| *key)
+        };
+        best(true).or_else(|| best(false))
+    }
+
     /// Draws two instances of a list and takes the one with less to do.
     ///
     /// Those that are left alone for their failures are drawn when no other is left.
@@ -309,6 +360,9 @@
     }
 
     fn failed(&mut self, key: InstanceKey, now: Instant) {
+        if self.cfg.choice == Choice::Completion {
+            return;
+        }
         if !self.instances[key].health.failed() {
             return;
         }
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use model::Class;
+use model::{Class, OperationKey};
 use slotmap::{SlotMap, new_key_type};
 
 new_key_type! {
@@ -20,6 +20,8 @@
 /// What the calls of a run inherit from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Run {
+    /// The operation that runs.
+    pub operation: OperationKey,
     /// Importance of the root request.
     pub class: Class,
     /// Rank among the requests of one class.
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -10,11 +10,7 @@
 const LATENCY: Duration = Duration::from_millis(10);
 
 fn cfg(subset: usize) -> RouterConfig {
-    RouterConfig {
-        own: "caller-1".into(),
-        data_centre: "norte-a".into(),
-        subset,
-    }
+    RouterConfig::new("caller-1".into(), "norte-a".into(), subset)
 }
 
 fn candidate(id: usize, data_centre: &str, standing: Standing) -> Candidate {
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -3,9 +3,12 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use model::{OperationKey, Refusal};
-use policy::{End, Event, Gate, GateConfig, Load, Offer, Permit, WaiterKey, Work};
+use policy::{
+    End, Event, Gate, GateConfig, Level, LevelControl, Load, Offer, Permit, WaiterKey, Work,
+};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
@@ -25,10 +28,21 @@
 struct State {
     gate: Gate,
     waiters: HashMap<WaiterKey, oneshot::Sender<Verdict>>,
+    level: LevelControl,
     operations: HashMap<SmolStr, OperationKey>,
+    /// Names of the routes by their keys.
+    routes: Vec<SmolStr>,
     events: Vec<Event>,
 }
 
+/// What others are told of the own target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Report {
+    pub(crate) load: Load,
+    pub(crate) run_time: Duration,
+    pub(crate) level: Level,
+}
+
 /// The right to one slot; dropped before its end is told, it counts as cancelled.
 pub(crate) struct Slot {
     admission: Rc<Admission>,
@@ -88,7 +102,9 @@
             state: RefCell::new(State {
                 gate: Gate::new(cfg, now.into_std()),
                 waiters: HashMap::new(),
+                level: LevelControl::new(now.into_std()),
                 operations: HashMap::new(),
+                routes: Vec::new(),
                 events: Vec::new(),
             }),
             changed: Notify::new(),
@@ -100,24 +116,39 @@
         self.poll();
     }
 
-    pub(crate) fn load(&self, now: Instant) -> Load {
-        self.state.borrow().gate.load(now.into_std())
+    /// What others are told now.
+    pub(crate) fn report(&self, now: Instant) -> Report {
+        let now = now.into_std();
+        let state = &mut *self.state.borrow_mut();
+        let load = state.gate.load(now);
+        state.level.observe(&load, now);
+        Report {
+            load,
+            run_time: state.gate.mean_run(),
+            level: state.level.level(),
+        }
     }
 
     /// Key under which the times of a route are measured.
     pub(crate) fn operation(&self, route: &SmolStr) -> OperationKey {
-        let operations = &mut self.state.borrow_mut().operations;
-        if let Some(key) = operations.get(route) {
+        let state = &mut *self.state.borrow_mut();
+        if let Some(key) = state.operations.get(route) {
             return *key;
         }
-        let next = u16::try_from(operations.len()).unwrap_or(MAX_OPERATIONS);
+        let next = u16::try_from(state.routes.len()).unwrap_or(MAX_OPERATIONS);
         if next >= MAX_OPERATIONS {
             return OperationKey(MAX_OPERATIONS);
         }
-        operations.insert(route.clone(), OperationKey(next));
+        state.operations.insert(route.clone(), OperationKey(next));
+        state.routes.push(route.clone());
         OperationKey(next)
     }
 
+    /// The route behind a key; `None` for the key that several share.
+    pub(crate) fn route(&self, key: OperationKey) -> Option<SmolStr> {
+        self.state.borrow().routes.get(key.index()).cloned()
+    }
+
     /// Waits for a slot, or for the refusal.
     pub(crate) async fn enter(self: &Rc<Self>, work: Work) -> Result<Slot, Refusal> {
         let slot = |permit| Slot {
@@ -168,15 +199,19 @@
         self.state.borrow_mut().events = events;
     }
 
-    /// Gives up waiters when their time has come.
+    /// Gives up waiters when their time has come, and looks at the load in between.
     pub(crate) async fn keep_time(self: Rc<Self>) {
-        /// Time between two looks while nobody waits.
-        const IDLE: std::time::Duration = std::time::Duration::from_secs(3_600);
+        /// Time between two looks, short against the time in which a level changes.
+        const LOOK_INTERVAL: Duration = Duration::from_millis(50);
         loop {
             let next = self.state.borrow().gate.next_wakeup();
-            let at = next.map_or_else(|| Instant::now() + IDLE, Instant::from_std);
+            let look = Instant::now() + LOOK_INTERVAL;
+            let at = next.map_or(look, |at| Instant::from_std(at).min(look));
             tokio::select! {
-                () = tokio::time::sleep_until(at) => self.poll(),
+                () = tokio::time::sleep_until(at) => {
+                    self.poll();
+                    self.report(Instant::now());
+                }
                 () = self.changed.notified() => {}
             }
         }
--- a/crates/relay/src/beside.rs
+++ b/crates/relay/src/beside.rs
@@ -108,9 +108,11 @@
     if let Ok(id) = HeaderValue::from_str(hop.target.as_str()) {
         headers.insert(relay.names.expected_target.clone(), id);
     }
+    relay.leads.borrow_mut().ran(&hop.route);
     let run = RunGuard::new(
         relay,
         Run {
+            operation: relay.admission.operation(&hop.route),
             class: hop.class,
             worth: hop.worth,
             shed_hash: hop.shed_hash,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod source;
 pub mod start;
 mod sync;
+mod word;
 
 pub use crate::error::Error;
 pub use crate::names::HeaderNames;
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -6,9 +6,8 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use model::{Outcome, Refusal, RefusalReason};
-use policy::Load;
 use routes::Target;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::Instant;
 use wire::hop::{HOP, HOP_END};
 use wire::{Hop, HopEnd};
@@ -18,6 +17,7 @@
 use crate::links::SendError;
 use crate::payload::Payload;
 use crate::relay::{InFlight, Relay};
+use crate::word::{self, Word};
 
 /// Time after which to ask again a daemon that can't be reached.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -30,7 +30,7 @@
     target: &Target,
     hop: &Hop,
     mut forward: Forward,
-) -> (Ended, Option<Load>) {
+) -> (Ended, Option<Word>) {
     let Ok(value) = HeaderValue::from_str(&hop.to_string()) else {
         let ended = Ended::not_run(RefusalReason::Invalid, UNREACHABLE_RETRY_AFTER);
         return (ended, None);
@@ -59,12 +59,17 @@
         let why = format!("answer {} without its end", head.status);
         return (Ended::Unknown { why }, None);
     };
-    let load = end.load.as_ref().and_then(|load| load.parse().ok());
+    let word = Some(Word {
+        load: end.load.as_ref().and_then(|load| load.parse().ok()),
+        run_time: end.run_time,
+        level: end.level.into(),
+    });
+    word::hear(relay, &hop.route, &mut head.headers);
     let mut body = match Payload::read(reply.body).await {
         Ok(body) => body,
         Err(error) => {
             let why = format!("the answer broke off between daemons: {error}");
-            return (Ended::Unknown { why }, load);
+            return (Ended::Unknown { why }, word);
         }
     };
     let answer_headers = head.headers.clone();
@@ -88,7 +93,7 @@
             why: "the daemon beside the target doesn't know".to_owned(),
         },
     };
-    (ended, load)
+    (ended, word)
 }
 
 /// Runs a request of another daemon in the own target.
@@ -105,6 +110,7 @@
         return res;
     };
     strip_connection(&mut head.headers);
+    let route = hop.route.clone();
     let ended = match Payload::read(body).await {
         Ok(body) => beside::run(relay, hop, Forward { head, body }).await,
         Err(error) => {
@@ -112,17 +118,19 @@
             Ended::not_run(RefusalReason::Cancelled, Duration::ZERO)
         }
     };
-    answer(relay, ended)
+    answer(relay, &route, ended)
 }
 
-fn answer(relay: &Relay, ended: Ended) -> Response<Payload> {
-    let load = relay.admission.load(Instant::now()).to_smolstr();
+fn answer(relay: &Relay, route: &SmolStr, ended: Ended) -> Response<Payload> {
+    let report = relay.admission.report(Instant::now());
     let mut end = HopEnd {
         outcome: Outcome::Answered,
         reached_target: false,
         reason: None,
         retry_after: Duration::ZERO,
-        load: Some(load),
+        run_time: report.run_time,
+        level: report.level.into(),
+        load: Some(report.load.to_smolstr()),
     };
     let mut res = match ended {
         Ended::Answered { head, body } => Response::from_parts(head, body),
@@ -142,6 +150,7 @@
     if let Ok(value) = HeaderValue::from_str(&end.to_string()) {
         res.headers_mut().insert(HOP_END, value);
     }
+    word::tell(relay, route, res.headers_mut());
     res.headers_mut()
         .insert("keep-alive", HeaderValue::from_static(IDLE_PROMISE));
     res
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use model::{InstanceId, Refusal, RefusalReason, ServiceName};
-use policy::{CallEnd, InstanceKey, Load, Pick, Run};
+use policy::{CallEnd, InstanceKey, Level, Pick, Rank, Run};
 use routes::{Repeat, Route, RouteTable, Target};
 use tokio::time::Instant;
 use wire::Hop;
@@ -19,11 +19,17 @@
 use crate::mesh;
 use crate::payload::Payload;
 use crate::relay::{InFlight, Phase, Relay, class_of};
+use crate::word::{self, Word};
 
 /// Time after which to ask again a daemon that holds no configuration yet.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after which to ask again where no target of the service is known.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Part of the target latency after which a request that was shed is to come back.
+const SHED_RETRY_PART: f64 = 0.33;
+/// Least and longest time after which it is to come back.
+const MIN_SHED_RETRY_AFTER: Duration = Duration::from_millis(50);
+const MAX_SHED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Targets that are asked for one request before it is refused.
 const MAX_ROUNDS: usize = 4;
 /// Time that has to be left for another send.
@@ -80,10 +86,17 @@
 
 /// A request with what its handling depends on.
 struct Inbound {
+    id: HeaderValue,
     route: Route,
+    arrived: Instant,
     deadline: Instant,
     shed_hash: u64,
+    /// The run that made it, where it is a call of the own target.
     parent: Option<Run>,
+    /// True for a call of the own target, even if its run was not found.
+    is_call: bool,
+    /// True if its caller has waited before.
+    came_back: bool,
 }
 
 impl Inbound {
@@ -106,21 +119,38 @@
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         let told = time_left(&head.headers, &relay.names.time_left_ms);
-        let parent = told.and_then(|left| {
+        let run = told.and_then(|left| {
             let at = (now + left).into_std();
             relay.runs.borrow().parent_of(at)
         });
+        let parent_route = run.and_then(|run| relay.admission.route(run.operation));
+        let mut leads = relay.leads.borrow_mut();
+        leads.began(&route.name, parent_route.as_ref());
+        let is_call = leads.is_called(&route.name);
+        let came_back = told.is_some_and(|left| leads.came_back(&route.name, left));
+        let parent = run.filter(|_| is_call);
         let left = told.map_or(route.timeout, |left| left.min(route.timeout));
         let shed_hash = parent.map_or_else(|| xxh3_64(id.as_bytes()), |run| run.shed_hash);
         Ok(Inbound {
+            id: id.clone(),
             route,
+            arrived: now,
             deadline: now + left,
             shed_hash,
             parent,
+            is_call,
+            came_back,
         })
     }
 }
 
+/// A service that can't bear a request, and how old the word of it is.
+struct Short {
+    service: ServiceName,
+    level: Level,
+    age: Duration,
+}
+
 /// One request on its way to one target after the other.
 struct Sending<'a> {
     relay: &'a Rc<Relay>,
@@ -162,10 +192,13 @@
                 state.resends.sent_first(now);
             }
         });
+        if let Some(short) = self.short_of(&service) {
+            return self.shed(&short);
+        }
         loop {
             let (key, target) = match self.pick(&service) {
                 Ok(picked) => picked,
-                Err(refusal) => return self.give_up(&refusal),
+                Err(refusal) => return self.give_up(&service, &refusal),
             };
             let spare = forward.copy();
             let ended = self.send(&service, key, &target, forward).await;
@@ -176,6 +209,58 @@
         }
     }
 
+    /// The service on the way of a request that has not begun which can't bear it just now.
+    fn short_of(&self, service: &ServiceName) -> Option<Short> {
+        if self.request.is_call {
+            return None;
+        }
+        let rank = Rank::new(
+            self.class(),
+            self.request.shed_hash,
+            self.request.came_back,
+        );
+        let now = Instant::now().into_std();
+        let levels = self.relay.levels.borrow();
+        let leads = self.relay.leads.borrow();
+        let beyond = leads.beyond(&self.request.route.name);
+        std::iter::once(service)
+            .chain(beyond)
+            .find_map(|service| {
+                let (level, age) = levels.of(service, now);
+                (!level.admits(rank)).then(|| Short {
+                    service: service.clone(),
+                    level,
+                    age,
+                })
+            })
+    }
+
+    /// Turns a request away before it has begun.
+    fn shed(&self, short: &Short) -> Response<Payload> {
+        let retry_after = self.retry_after();
+        log::info!(
+            id = self.request.id.to_str().unwrap_or("unprintable"),
+            route = self.request.route.name.as_str(),
+            class:% = self.class(),
+            short_of = short.service.as_str(),
+            level:% = short.level,
+            level_age_ms = millis(short.age),
+            came_back = self.request.came_back,
+            retry_after_ms = millis(retry_after);
+            "request shed"
+        );
+        refused(retry_after)
+    }
+
+    /// Time after which a request that was shed is to come back: soon enough to be answered
+    /// within its target latency, spread so that not all come at once.
+    fn retry_after(&self) -> Duration {
+        let spread = 0.5 + f64::from(u8::try_from(self.request.shed_hash & 0xff).unwrap_or(0)) / 255.0;
+        let aim = self.request.route.target_latency.mul_f64(SHED_RETRY_PART);
+        aim.mul_f64(spread)
+            .clamp(MIN_SHED_RETRY_AFTER, MAX_SHED_RETRY_AFTER)
+    }
+
     fn pick(&self, service: &ServiceName) -> Result<(InstanceKey, Target), Refusal> {
         let class = self.class();
         let now = Instant::now().into_std();
@@ -226,13 +311,20 @@
             open: true,
         };
         let hop = self.hop(target, began);
-        let (ended, load) = if target.address == self.relay.cfg.target {
+        let (ended, word) = if target.address == self.relay.cfg.target {
             let ended = beside::run(self.relay, hop, forward).await;
-            (ended, Some(self.relay.admission.load(Instant::now())))
+            let services = word::leads(self.relay, &self.request.route.name);
+            let mut leads = self.relay.leads.borrow_mut();
+            leads.told(&self.request.route.name, services.into_iter());
+            let report = self.relay.admission.report(Instant::now());
+            (ended, Some(Word::from(report)))
         } else {
             mesh::send(self.relay, target, &hop, forward).await
         };
-        call.finish(call_end(&ended), load);
+        if let Some(word) = &word {
+            word::note(self.relay, service, &target.id, word);
+        }
+        call.finish(call_end(&ended), word);
         ended
     }
 
@@ -258,7 +350,7 @@
         let left = self.request.deadline.saturating_duration_since(Instant::now());
         match (spare, refusal) {
             (Some(spare), _) if again && left > LEAST_TIME_LEFT => Next::Ask(spare),
-            (_, Some(refusal)) => Next::Answer(self.give_up(&refusal)),
+            (_, Some(refusal)) => Next::Answer(self.give_up(service, &refusal)),
             (_, None) => Next::Answer(status_only(StatusCode::BAD_GATEWAY)),
         }
     }
@@ -275,7 +367,23 @@
 
     /// The answer where no further target takes the request: that it did not run, unless a
     /// send before may have run.
-    fn give_up(&self, refusal: &Refusal) -> Response<Payload> {
+    fn give_up(&self, service: &ServiceName, refusal: &Refusal) -> Response<Payload> {
+        let now = Instant::now();
+        log::info!(
+            id = self.request.id.to_str().unwrap_or("unprintable"),
+            route = self.request.route.name.as_str(),
+            service = service.as_str(),
+            class:% = self.class(),
+            is_call = self.request.is_call,
+            reason:% = refusal.reason,
+            asked = self.asked.len(),
+            arrivals = self.arrivals,
+            may_have_run = self.may_have_run,
+            held_ms = millis(now.saturating_duration_since(self.request.arrived)),
+            left_ms = millis(self.request.deadline.saturating_duration_since(now)),
+            retry_after_ms = millis(refusal.retry_after);
+            "request refused"
+        );
         if self.may_have_run {
             return status_only(StatusCode::BAD_GATEWAY);
         }
@@ -292,7 +400,7 @@
         let repeated = self.request.parent.is_some_and(|run| run.repeated);
         Hop {
             class: self.class(),
-            worth: if self.request.parent.is_some() {
+            worth: if self.request.is_call {
                 CALL_WORTH
             } else {
                 ROOT_WORTH
@@ -316,11 +424,15 @@
 }
 
 impl Call<'_> {
-    fn finish(&mut self, end: CallEnd, load: Option<Load>) {
+    fn finish(&mut self, end: CallEnd, word: Option<Word>) {
         self.open = false;
         let now = Instant::now();
         let latency = now.saturating_duration_since(self.began);
         self.relay.with_service(self.service, |state| {
+            if let Some(word) = word {
+                state.router.report_run_time(self.key, word.run_time);
+            }
+            let load = word.and_then(|word| word.load);
             state
                 .router
                 .finish(self.key, end, latency, load, now.into_std());
@@ -339,6 +451,9 @@
 fn call_end(ended: &Ended) -> CallEnd {
     match ended {
         Ended::Answered { .. } => CallEnd::Answered,
+        Ended::NotRun {
+            at_target: true, ..
+        } => CallEnd::TargetRefused,
         Ended::NotRun { refusal, .. } => CallEnd::NotRun(refusal.reason),
         Ended::Unknown { .. } => CallEnd::Unknown,
     }
@@ -376,6 +491,11 @@
     Some(Duration::from_millis(millis))
 }
 
+/// Whole milliseconds, for logs.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Tells that a request did not run, and when to come back.
 fn refused(retry_after: Duration) -> Response<Payload> {
     let mut res = status_only(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,10 +4,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use model::{Class, InstanceId, ServiceName};
 use policy::{
-    Candidate, GateConfig, ResendBudget, Router, RouterConfig, RunKey, Runs, Standing,
+    Candidate, Choice, GateConfig, Leads, Levels, ResendBudget, Router, RouterConfig, RunKey, Runs,
+    Standing,
 };
 use routes::{RouteTable, Split, Target, TargetState, Targets};
 use smol_str::SmolStr;
@@ -25,6 +27,13 @@
 /// Targets of one service that are called in the own data centre, and as many elsewhere.
 const SUBSET: usize = 16;
 
+/// Time for which a daemon that said it leaves is not asked again. Its target may live on, and
+/// then the daemon is back within seconds; asking costs no more than one refusal.
+const LEAVING_LIFE: Duration = Duration::from_secs(1);
+/// Part of a target's slots that is left free, as a divisor: targets slow down when they are
+/// nearly full, some by a third, which costs more than these slots bring.
+const SPARE_DIVISOR: u32 = 14;
+
 /// How far the daemon is on its way to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -40,6 +49,8 @@
     pub(crate) links: Links,
     pub(crate) admission: Rc<Admission>,
     pub(crate) runs: RefCell<Runs>,
+    pub(crate) leads: RefCell<Leads>,
+    pub(crate) levels: RefCell<Levels>,
     pub(crate) phase: Cell<Phase>,
     /// Requests that began here or run beside it and have no whole answer yet.
     pub(crate) in_flight: Cell<usize>,
@@ -70,6 +81,8 @@
             links: Links::default(),
             admission: Admission::new(gate, now),
             runs: RefCell::new(Runs::default()),
+            leads: RefCell::new(Leads::default()),
+            levels: RefCell::new(Levels::default()),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             view: RefCell::new(View {
@@ -96,6 +109,7 @@
     pub(crate) fn set_table(&self, table: RouteTable) {
         let kept = |name: &SmolStr| table.routes().iter().any(|route| route.name == *name);
         self.splits.borrow_mut().retain(|name, _| kept(name));
+        self.leads.borrow_mut().retain(kept);
         self.view.borrow_mut().table = Some(Rc::new(table));
         self.refresh_gate();
     }
@@ -126,9 +140,9 @@
         let now = Instant::now().into_std();
         let own = InstanceId::from(self.cfg.name.clone());
         let router_cfg = RouterConfig {
-            own,
-            data_centre: self.cfg.data_centre.clone(),
-            subset: SUBSET,
+            choice: Choice::Completion,
+            leaving_life: LEAVING_LIFE,
+            ..RouterConfig::new(own, self.cfg.data_centre.clone(), SUBSET)
         };
         let mut router = Router::new(router_cfg, rand::random(), now);
         router.update(&candidates, now);
@@ -238,7 +252,7 @@
 }
 
 fn gate_config(slots: u32, connections: u32) -> GateConfig {
-    GateConfig::new(slots)
+    GateConfig::new(slots - slots.div_ceil(SPARE_DIVISOR).min(slots / 2))
         .with_connections(connections)
         .with_queue(slots.saturating_mul(QUEUE_PER_SLOT))
         .with_adaptive(false)
--- /dev/null
+++ b/crates/relay/src/word.rs
@@ -0,0 +1,113 @@
+//! What daemons tell each other with each answer, beside the answer itself.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue};
+use model::{InstanceId, ServiceName};
+use policy::{Level, Load};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+use wire::HeardLevel;
+use wire::hop::{LEADS, LEVELS};
+
+use crate::admission::Report;
+use crate::relay::Relay;
+
+/// What is known of a target after a send to it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Word {
+    pub(crate) load: Option<Load>,
+    pub(crate) run_time: Duration,
+    pub(crate) level: Level,
+}
+
+impl From<Report> for Word {
+    fn from(report: Report) -> Self {
+        Word {
+            load: Some(report.load),
+            run_time: report.run_time,
+            level: report.level,
+        }
+    }
+}
+
+/// Services that runs of a route in the own target lead to, the own one first.
+pub(crate) fn leads(relay: &Relay, route: &SmolStr) -> Vec<ServiceName> {
+    let mut services = relay.leads.borrow().of_runs(route);
+    services.retain(|service| *service != relay.cfg.service);
+    services.insert(0, relay.cfg.service.clone());
+    services
+}
+
+/// Writes where a route leads and what levels were heard into the headers of an answer.
+pub(crate) fn tell(relay: &Relay, route: &SmolStr, headers: &mut HeaderMap) {
+    let mut text = String::new();
+    for service in leads(relay, route) {
+        let space = if text.is_empty() { "" } else { " " };
+        // Writing to a text can't fail.
+        let _ = write!(text, "{space}{service}");
+    }
+    insert(headers, LEADS, &text);
+    text.clear();
+    let now = Instant::now().into_std();
+    let levels = relay.levels.borrow();
+    for (service, level, age) in levels.iter(now) {
+        let heard = HeardLevel {
+            service: service.clone(),
+            level: level.into(),
+            age,
+        };
+        let comma = if text.is_empty() { "" } else { "," };
+        let _ = write!(text, "{comma}{heard}");
+    }
+    if !text.is_empty() {
+        insert(headers, LEVELS, &text);
+    }
+}
+
+/// Takes what [`tell`] wrote out of the headers of an answer.
+pub(crate) fn hear(relay: &Relay, route: &SmolStr, headers: &mut HeaderMap) {
+    if let Some(value) = headers.remove(LEADS)
+        && let Ok(text) = value.to_str()
+    {
+        let services = text.split(' ').map(ServiceName::from);
+        relay.leads.borrow_mut().told(route, services);
+    }
+    let Some(value) = headers.remove(LEVELS) else {
+        return;
+    };
+    let now = Instant::now().into_std();
+    for text in value.to_str().unwrap_or_default().split(',') {
+        match text.parse::<HeardLevel>() {
+            Ok(heard) => {
+                let level = Level::from(heard.level);
+                let mut levels = relay.levels.borrow_mut();
+                levels.hear(&heard.service, level, heard.age, now);
+            }
+            Err(error) => log::debug!(error:%; "level between daemons ignored"),
+        }
+    }
+}
+
+/// Takes note of what a target was reported to do.
+pub(crate) fn note(relay: &Relay, service: &ServiceName, target: &InstanceId, word: &Word) {
+    if word.load.is_none() {
+        return;
+    }
+    let now = Instant::now().into_std();
+    relay
+        .levels
+        .borrow_mut()
+        .report(service, word.level, now);
+    log::trace!(target_id = target.as_str(), level:% = word.level; "target reported");
+}
+
+fn insert(headers: &mut HeaderMap, name: http::HeaderName, text: &str) {
+    match HeaderValue::from_str(text) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(error) => log::debug!(error:%; "header between daemons left out"),
+    }
+}
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -5,7 +5,7 @@
 
 use derive_more::{Display, Error};
 use http::HeaderName;
-use model::{Class, InstanceId, Outcome, RefusalReason};
+use model::{Class, InstanceId, Outcome, RefusalReason, ServiceName};
 use smol_str::SmolStr;
 
 /// Carries a [`Hop`] on a request between daemons.
@@ -13,6 +13,11 @@
 /// Carries a [`HopEnd`] on its answer.
 pub const HOP_END: HeaderName = HeaderName::from_static("berylhead-hop-end");
 
+/// Tells on an answer which services requests of the route lead to.
+pub const LEADS: HeaderName = HeaderName::from_static("berylhead-leads");
+/// Carries [`HeardLevel`]s on an answer, separated by commas.
+pub const LEVELS: HeaderName = HeaderName::from_static("berylhead-levels");
+
 /// Stands for a field without a value.
 const NONE: &str = "-";
 
@@ -42,10 +47,11 @@
 /// How one forwarded request ended beside its target.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[display(
-    "{outcome} {} {} {} {}",
+    "{outcome} {} {} {} {} {level} {}",
     if *reached_target { "target" } else { NONE },
     reason.map_or_else(|| NONE.to_owned(), |reason| reason.to_string()),
     retry_after.as_millis(),
+    run_time.as_micros(),
     load.as_deref().unwrap_or(NONE)
 )]
 pub struct HopEnd {
@@ -57,10 +63,40 @@
     pub reason: Option<RefusalReason>,
     /// When another one may be admitted.
     pub retry_after: Duration,
+    /// Mean time of a run in the target.
+    pub run_time: Duration,
+    /// Least rank of root requests that the target can bear.
+    pub level: u16,
     /// Load beside the target, as text.
     pub load: Option<SmolStr>,
 }
 
+/// The level of one service, as a daemon has heard it.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{service} {level} {}", age.as_millis())]
+pub struct HeardLevel {
+    /// The service.
+    pub service: ServiceName,
+    /// Least rank of root requests that it can bear.
+    pub level: u16,
+    /// How long ago a target of the service said so.
+    pub age: Duration,
+}
+
+impl FromStr for HeardLevel {
+    type Err = MalformedHop;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut fields = text.trim().splitn(3, ' ');
+        let mut next = |field| fields.next().ok_or(MalformedHop { field });
+        Ok(HeardLevel {
+            service: next("service")?.into(),
+            level: parsed(next("level")?, "level")?,
+            age: Duration::from_millis(parsed(next("age")?, "age")?),
+        })
+    }
+}
+
 /// A header between daemons that can't be read.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("malformed header between daemons: {field}")]
@@ -91,13 +127,15 @@
     type Err = MalformedHop;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut fields = text.splitn(5, ' ');
+        let mut fields = text.splitn(7, ' ');
         let mut next = |field| fields.next().ok_or(MalformedHop { field });
         Ok(HopEnd {
             outcome: Outcome::parse(next("outcome")?).ok_or(MalformedHop { field: "outcome" })?,
             reached_target: next("reached")? != NONE,
             reason: RefusalReason::parse(next("reason")?),
             retry_after: Duration::from_millis(parsed(next("retry after")?, "retry after")?),
+            run_time: Duration::from_micros(parsed(next("run time")?, "run time")?),
+            level: parsed(next("level")?, "level")?,
             load: Some(next("load")?)
                 .filter(|text| *text != NONE)
                 .map(Into::into),
--- a/crates/wire/tests/hop.rs
+++ b/crates/wire/tests/hop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::{Class, Outcome, RefusalReason};
-use wire::{Hop, HopEnd};
+use wire::{HeardLevel, Hop, HopEnd};
 
 fn hop() -> Hop {
     Hop {
@@ -31,18 +31,22 @@
         reached_target: true,
         reason: Some(RefusalReason::Overloaded),
         retry_after: Duration::from_millis(250),
+        run_time: Duration::from_micros(15_200),
+        level: 300,
         load: Some("1,2,3,4,bulk".into()),
     };
-    insta::assert_snapshot!(refused.to_string(), @"not-run target overloaded 250 1,2,3,4,bulk");
+    insta::assert_snapshot!(refused.to_string(), @"not-run target overloaded 250 15200 300 1,2,3,4,bulk");
     assert_eq!(refused.to_string().parse(), Ok(refused));
     let answered = HopEnd {
         outcome: Outcome::Answered,
         reached_target: false,
         reason: None,
         retry_after: Duration::ZERO,
+        run_time: Duration::ZERO,
+        level: 0,
         load: None,
     };
-    insta::assert_snapshot!(answered.to_string(), @"answered - - 0 -");
+    insta::assert_snapshot!(answered.to_string(), @"answered - - 0 0 0 -");
     assert_eq!(answered.to_string().parse(), Ok(answered));
 }
 
@@ -61,3 +65,15 @@
         assert!(error.ends_with(field), "{text:?}: {error}");
     }
 }
+
+#[test]
+fn a_level_reads_back() {
+    let heard = HeardLevel {
+        service: "caja".into(),
+        level: 511,
+        age: Duration::from_millis(40),
+    };
+    insta::assert_snapshot!(heard, @"caja 511 40");
+    assert_eq!(heard.to_string().parse(), Ok(heard));
+    assert!("caja 511".parse::<HeardLevel>().is_err());
+}
