Bound roots under way to a scarce service by windows

Cause: the level kept rising while begun runs drained their calls (queue 90 of 38 slots for two seconds after the level had passed all browsing), then shed everything, bookings too. Ruled out: a smaller gain; the loop is a double integrator, and the queue at the deep service is fed by closed loops of five calls a run. Change: policy::Pressure (work over limit, averaged) in place of levels, and policy::Windows: root requests under way to each service, cut by pressure, grown when it is low; each class keeps a fifth. Log lines are limited by kind; what was left out is counted.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -8,8 +8,13 @@
 use serde_json::{Map, Value, json};
 use simplelog::{CombinedLogger, Config, SharedLogger};
 
-/// Lines below the level of a warning that are written in one second.
-const MAX_LINES_PER_SECOND: u32 = 1_000;
+/// Lines of one kind, below the level of an error, that are written in one second: enough to
+/// see what happens, and a small part of a processor under the heaviest load.
+const MAX_LINES_PER_KIND: u32 = 10;
+/// Kinds that are told apart in one second; all further ones count as one.
+const MAX_KINDS: usize = 64;
+/// Stands for the kinds beyond those.
+const OTHER_KINDS: &str = "other";
 
 /// Crates whose lines are written from any level on; others only warn.
 const OWN_CRATES: [&str; 4] = ["daemon", "berylhead", "relay", "platform"];
@@ -49,34 +54,57 @@
     second: Mutex<Second>,
 }
 
-/// Lines that were written in the present second.
+/// Lines of the present second, by kind. The message, which is the same for all lines of one
+/// place in the code, is the kind.
 #[derive(Debug, Default)]
 struct Second {
     number: u64,
+    kinds: Vec<Kind>,
+}
+
+/// Lines of one kind.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    message: &'static str,
     lines: u32,
-    suppressed: u64,
+    left_out: u64,
 }
 
 impl Second {
-    /// Decides whether a line is written, and tells at the start of a second how many
-    /// were suppressed before it. Under overload the log must not become the load.
-    fn admit(&mut self, level: Level, number: u64) -> (bool, u64) {
-        let mut report = 0;
+    /// Decides whether a line is written, and hands out what was left out in the last second
+    /// with lines. Under overload the log must not become the load.
+    fn admit(&mut self, level: Level, message: &'static str, number: u64) -> (bool, Vec<Kind>) {
+        let mut left_out = Vec::new();
         if number != self.number {
-            report = std::mem::take(&mut self.suppressed);
-            *self = Second {
-                number,
-                lines: 0,
-                suppressed: 0,
-            };
+            left_out.extend(self.kinds.drain(..).filter(|kind| kind.left_out > 0));
+            self.number = number;
         }
-        let admitted = level <= Level::Warn || self.lines < MAX_LINES_PER_SECOND;
+        let kind = self.kind(message);
+        let admitted = level <= Level::Error || kind.lines < MAX_LINES_PER_KIND;
         if admitted {
-            self.lines += 1;
+            kind.lines += 1;
         } else {
-            self.suppressed += 1;
+            kind.left_out += 1;
         }
-        (admitted, report)
+        (admitted, left_out)
+    }
+
+    fn kind(&mut self, message: &'static str) -> &mut Kind {
+        let message = if self.kinds.len() < MAX_KINDS {
+            message
+        } else {
+            OTHER_KINDS
+        };
+        let found = self.kinds.iter().position(|kind| kind.message == message);
+        let index = found.unwrap_or_else(|| {
+            self.kinds.push(Kind {
+                message,
+                lines: 0,
+                left_out: 0,
+            });
+            self.kinds.len() - 1
+        });
+        &mut self.kinds[index]
     }
 }
 
@@ -101,11 +129,15 @@
         let at = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        let (admitted, suppressed) = self.second().admit(record.level(), at.as_secs());
-        if suppressed > 0 {
-            let line =
-                json!({ "level": "warn", "message": "lines suppressed", "count": suppressed });
-            self.stream.write(&line);
+        let message = record.args().as_str().unwrap_or(OTHER_KINDS);
+        let (admitted, left_out) = self.second().admit(record.level(), message, at.as_secs());
+        for kind in left_out {
+            self.stream.write(&json!({
+                "level": "warn",
+                "message": "lines left out",
+                "kind": kind.message,
+                "count": kind.left_out,
+            }));
         }
         if !admitted {
             return;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,7 +35,6 @@
 * [`settings`]: what a gate is built from
 * [`work`]: what is offered to a gate and what comes back
 * [`leads`]: where requests of a route lead, learned from their calls
-* [`level`]: which root requests the scarcest service on their way can bear
 * [`load`]: what a daemon tells others about its load
 * [`budget`]: retries that one request may cost over its whole tree
 * [`children`]: retries of one run, shared among the calls that it makes
@@ -43,8 +42,10 @@
 * [`edge`]: retries that one edge may add to its first tries
 * [`acceptance`]: how much of the work for a callee is worth beginning
 * [`router`]: choice of the instance that takes a call
+* [`pressure`]: how much work targets have, over what they can run at once
 * [`resend`]: further sends out of a budget that all daemons share
 * [`runs`]: which run a target's own call belongs to
+* [`window`]: how many root requests may be under way to a scarce service
 * [`candidate`]: what a router is told of instances and what it answers
 */
 #![deny(missing_docs)]
@@ -57,12 +58,13 @@
 pub mod edge;
 pub mod gate;
 pub mod leads;
-pub mod level;
 pub mod load;
+pub mod pressure;
 pub mod resend;
 pub mod router;
 pub mod runs;
 pub mod settings;
+pub mod window;
 pub mod work;
 
 mod completion;
@@ -88,10 +90,11 @@
 pub use crate::edge::EdgeRetries;
 pub use crate::gate::Gate;
 pub use crate::leads::Leads;
-pub use crate::level::{Level, LevelControl, Levels, Rank};
 pub use crate::load::{Load, MalformedLoad};
+pub use crate::pressure::{Pressure, PressureMeter, Pressures};
 pub use crate::resend::ResendBudget;
 pub use crate::router::Router;
 pub use crate::runs::{Run, RunKey, Runs};
 pub use crate::settings::{GateConfig, Headroom, Order};
+pub use crate::window::{Short, Windows};
 pub use crate::work::{End, Event, Offer, Permit, WaiterKey, Work};
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -7,7 +7,8 @@
 
 use model::{OperationKey, Refusal};
 use policy::{
-    End, Event, Gate, GateConfig, Level, LevelControl, Load, Offer, Permit, WaiterKey, Work,
+    End, Event, Gate, GateConfig, Load, Offer, Permit, Pressure, PressureMeter,
+    WaiterKey, Work,
 };
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
@@ -28,7 +29,7 @@
 struct State {
     gate: Gate,
     waiters: HashMap<WaiterKey, oneshot::Sender<Verdict>>,
-    level: LevelControl,
+    pressure: PressureMeter,
     operations: HashMap<SmolStr, OperationKey>,
     /// Names of the routes by their keys.
     routes: Vec<SmolStr>,
@@ -40,7 +41,7 @@
 pub(crate) struct Report {
     pub(crate) load: Load,
     pub(crate) run_time: Duration,
-    pub(crate) level: Level,
+    pub(crate) pressure: Pressure,
 }
 
 /// The right to one slot; dropped before its end is told, it counts as cancelled.
@@ -102,7 +103,7 @@
             state: RefCell::new(State {
                 gate: Gate::new(cfg, now.into_std()),
                 waiters: HashMap::new(),
-                level: LevelControl::new(now.into_std()),
+                pressure: PressureMeter::new(now.into_std()),
                 operations: HashMap::new(),
                 routes: Vec::new(),
                 events: Vec::new(),
@@ -121,11 +122,11 @@
         let now = now.into_std();
         let state = &mut *self.state.borrow_mut();
         let load = state.gate.load(now);
-        state.level.observe(&load, now);
+        state.pressure.observe(&load, now);
         Report {
             load,
             run_time: state.gate.mean_run(),
-            level: state.level.level(),
+            pressure: state.pressure.pressure(),
         }
     }
 
@@ -201,8 +202,9 @@
 
     /// Gives up waiters when their time has come, and looks at the load in between.
     pub(crate) async fn keep_time(self: Rc<Self>) {
-        /// Time between two looks, short against the time in which a level changes.
+        /// Time between two looks, short against the time in which a pressure changes.
         const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+        let mut logged = Pressure::default();
         loop {
             let next = self.state.borrow().gate.next_wakeup();
             let look = Instant::now() + LOOK_INTERVAL;
@@ -210,7 +212,11 @@
             tokio::select! {
                 () = tokio::time::sleep_until(at) => {
                     self.poll();
-                    self.report(Instant::now());
+                    let report = self.report(Instant::now());
+                    if changed_much(logged, report.pressure) {
+                        logged = report.pressure;
+                        log_pressure(&report);
+                    }
                 }
                 () = self.changed.notified() => {}
             }
@@ -227,3 +233,25 @@
         }
     }
 }
+
+/// True if a target became full, or twice as full as that, or no longer is.
+fn changed_much(logged: Pressure, now: Pressure) -> bool {
+    let step = |pressure: Pressure| match pressure.ratio() {
+        ratio if ratio < 1.0 => 0,
+        ratio if ratio < 2.0 => 1,
+        _ => 2,
+    };
+    step(logged) != step(now)
+}
+
+fn log_pressure(report: &Report) {
+    let load = &report.load;
+    log::info!(
+        pressure_thousandths:% = report.pressure,
+        in_flight = load.in_flight,
+        limit = load.limit,
+        queued = load.queued,
+        run_time_ms = u64::try_from(report.run_time.as_millis()).unwrap_or(u64::MAX);
+        "pressure changed"
+    );
+}
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -62,7 +62,7 @@
     let word = Some(Word {
         load: end.load.as_ref().and_then(|load| load.parse().ok()),
         run_time: end.run_time,
-        level: end.level.into(),
+        pressure: end.pressure.into(),
     });
     word::hear(relay, &hop.route, &mut head.headers);
     let mut body = match Payload::read(reply.body).await {
@@ -129,7 +129,7 @@
         reason: None,
         retry_after: Duration::ZERO,
         run_time: report.run_time,
-        level: report.level.into(),
+        pressure: report.pressure.into(),
         load: Some(report.load.to_smolstr()),
     };
     let mut res = match ended {
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use model::{InstanceId, Refusal, RefusalReason, ServiceName};
-use policy::{CallEnd, InstanceKey, Level, Pick, Rank, Run};
+use policy::{CallEnd, InstanceKey, Pick, Run, Short};
 use routes::{Repeat, Route, RouteTable, Target};
 use tokio::time::Instant;
 use wire::Hop;
@@ -18,7 +18,7 @@
 use crate::headers::strip_connection;
 use crate::mesh;
 use crate::payload::Payload;
-use crate::relay::{InFlight, Phase, Relay, class_of};
+use crate::relay::{InFlight, Phase, Relay, UnderWay, class_of};
 use crate::word::{self, Word};
 
 /// Time after which to ask again a daemon that holds no configuration yet.
@@ -144,13 +144,6 @@
     }
 }
 
-/// A service that can't bear a request, and how old the word of it is.
-struct Short {
-    service: ServiceName,
-    level: Level,
-    age: Duration,
-}
-
 /// One request on its way to one target after the other.
 struct Sending<'a> {
     relay: &'a Rc<Relay>,
@@ -192,9 +185,10 @@
                 state.resends.sent_first(now);
             }
         });
-        if let Some(short) = self.short_of(&service) {
-            return self.shed(&short);
-        }
+        let _under_way = match self.begin(&service) {
+            Ok(under_way) => under_way,
+            Err(short) => return self.shed(&short),
+        };
         loop {
             let (key, target) = match self.pick(&service) {
                 Ok(picked) => picked,
@@ -209,30 +203,28 @@
         }
     }
 
-    /// The service on the way of a request that has not begun which can't bear it just now.
-    fn short_of(&self, service: &ServiceName) -> Option<Short> {
+    /// Decides whether a root request may begin; a call of a run has begun already.
+    fn begin(&self, service: &ServiceName) -> Result<Option<UnderWay>, Short> {
         if self.request.is_call {
-            return None;
+            return Ok(None);
         }
-        let rank = Rank::new(
-            self.class(),
-            self.request.shed_hash,
-            self.request.came_back,
-        );
-        let now = Instant::now().into_std();
-        let levels = self.relay.levels.borrow();
+        let class = self.class();
+        let mut services = vec![service.clone()];
         let leads = self.relay.leads.borrow();
-        let beyond = leads.beyond(&self.request.route.name);
-        std::iter::once(service)
-            .chain(beyond)
-            .find_map(|service| {
-                let (level, age) = levels.of(service, now);
-                (!level.admits(rank)).then(|| Short {
-                    service: service.clone(),
-                    level,
-                    age,
-                })
-            })
+        let beyond = leads.beyond(&self.request.route.name).iter();
+        services.extend(beyond.filter(|beyond| *beyond != service).cloned());
+        drop(leads);
+        let now = Instant::now().into_std();
+        let pressures = self.relay.pressures.borrow();
+        self.relay.windows.borrow_mut().admit(
+            class,
+            self.request.came_back,
+            services.iter(),
+            &pressures,
+            now,
+        )?;
+        drop(pressures);
+        Ok(Some(UnderWay::new(self.relay, class, services)))
     }
 
     /// Turns a request away before it has begun.
@@ -243,8 +235,10 @@
             route = self.request.route.name.as_str(),
             class:% = self.class(),
             short_of = short.service.as_str(),
-            level:% = short.level,
-            level_age_ms = millis(short.age),
+            pressure_thousandths:% = short.pressure,
+            pressure_age_ms = millis(short.age),
+            under_way = short.under_way,
+            window = short.window,
             came_back = self.request.came_back,
             retry_after_ms = millis(retry_after);
             "request shed"
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,8 +8,8 @@
 
 use model::{Class, InstanceId, ServiceName};
 use policy::{
-    Candidate, Choice, GateConfig, Leads, Levels, ResendBudget, Router, RouterConfig, RunKey, Runs,
-    Standing,
+    Candidate, Choice, GateConfig, Leads, Pressures, ResendBudget, Router, RouterConfig, RunKey,
+    Runs, Standing, Windows,
 };
 use routes::{RouteTable, Split, Target, TargetState, Targets};
 use smol_str::SmolStr;
@@ -50,7 +50,8 @@
     pub(crate) admission: Rc<Admission>,
     pub(crate) runs: RefCell<Runs>,
     pub(crate) leads: RefCell<Leads>,
-    pub(crate) levels: RefCell<Levels>,
+    pub(crate) pressures: RefCell<Pressures>,
+    pub(crate) windows: RefCell<Windows>,
     pub(crate) phase: Cell<Phase>,
     /// Requests that began here or run beside it and have no whole answer yet.
     pub(crate) in_flight: Cell<usize>,
@@ -82,7 +83,8 @@
             admission: Admission::new(gate, now),
             runs: RefCell::new(Runs::default()),
             leads: RefCell::new(Leads::default()),
-            levels: RefCell::new(Levels::default()),
+            pressures: RefCell::new(Pressures::default()),
+            windows: RefCell::new(Windows::default()),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             view: RefCell::new(View {
@@ -219,6 +221,38 @@
     }
 }
 
+/// Counts a root request as under way to services until it is dropped.
+pub(crate) struct UnderWay {
+    relay: Rc<Relay>,
+    class: Class,
+    services: Vec<ServiceName>,
+}
+
+impl UnderWay {
+    pub(crate) fn new(relay: &Rc<Relay>, class: Class, services: Vec<ServiceName>) -> Self {
+        let now = Instant::now().into_std();
+        let mut windows = relay.windows.borrow_mut();
+        for service in &services {
+            windows.begin(class, service, now);
+        }
+        drop(windows);
+        UnderWay {
+            relay: Rc::clone(relay),
+            class,
+            services,
+        }
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        let mut windows = self.relay.windows.borrow_mut();
+        for service in &self.services {
+            windows.end(self.class, service);
+        }
+    }
+}
+
 /// Counts as a run of the own target until it is dropped.
 pub(crate) struct RunGuard {
     relay: Rc<Relay>,
--- a/crates/relay/src/word.rs
+++ b/crates/relay/src/word.rs
@@ -5,11 +5,11 @@
 
 use http::{HeaderMap, HeaderValue};
 use model::{InstanceId, ServiceName};
-use policy::{Level, Load};
+use policy::{Load, Pressure};
 use smol_str::SmolStr;
 use tokio::time::Instant;
-use wire::HeardLevel;
-use wire::hop::{LEADS, LEVELS};
+use wire::HeardPressure;
+use wire::hop::{LEADS, PRESSURES};
 
 use crate::admission::Report;
 use crate::relay::Relay;
@@ -19,7 +19,7 @@
 pub(crate) struct Word {
     pub(crate) load: Option<Load>,
     pub(crate) run_time: Duration,
-    pub(crate) level: Level,
+    pub(crate) pressure: Pressure,
 }
 
 impl From<Report> for Word {
@@ -27,7 +27,7 @@
         Word {
             load: Some(report.load),
             run_time: report.run_time,
-            level: report.level,
+            pressure: report.pressure,
         }
     }
 }
@@ -40,7 +40,7 @@
     services
 }
 
-/// Writes where a route leads and what levels were heard into the headers of an answer.
+/// Writes where a route leads and what pressures were heard into the headers of an answer.
 pub(crate) fn tell(relay: &Relay, route: &SmolStr, headers: &mut HeaderMap) {
     let mut text = String::new();
     for service in leads(relay, route) {
@@ -51,18 +51,18 @@
     insert(headers, LEADS, &text);
     text.clear();
     let now = Instant::now().into_std();
-    let levels = relay.levels.borrow();
-    for (service, level, age) in levels.iter(now) {
-        let heard = HeardLevel {
+    let pressures = relay.pressures.borrow();
+    for (service, pressure, age) in pressures.iter(now) {
+        let heard = HeardPressure {
             service: service.clone(),
-            level: level.into(),
+            pressure: pressure.into(),
             age,
         };
         let comma = if text.is_empty() { "" } else { "," };
         let _ = write!(text, "{comma}{heard}");
     }
     if !text.is_empty() {
-        insert(headers, LEVELS, &text);
+        insert(headers, PRESSURES, &text);
     }
 }
 
@@ -74,18 +74,18 @@
         let services = text.split(' ').map(ServiceName::from);
         relay.leads.borrow_mut().told(route, services);
     }
-    let Some(value) = headers.remove(LEVELS) else {
+    let Some(value) = headers.remove(PRESSURES) else {
         return;
     };
     let now = Instant::now().into_std();
     for text in value.to_str().unwrap_or_default().split(',') {
-        match text.parse::<HeardLevel>() {
+        match text.parse::<HeardPressure>() {
             Ok(heard) => {
-                let level = Level::from(heard.level);
-                let mut levels = relay.levels.borrow_mut();
-                levels.hear(&heard.service, level, heard.age, now);
+                let pressure = Pressure::from(heard.pressure);
+                let mut pressures = relay.pressures.borrow_mut();
+                pressures.hear(&heard.service, pressure, heard.age, now);
             }
-            Err(error) => log::debug!(error:%; "level between daemons ignored"),
+            Err(error) => log::debug!(error:%; "pressure between daemons ignored"),
         }
     }
 }
@@ -97,10 +97,10 @@
     }
     let now = Instant::now().into_std();
     relay
-        .levels
+        .pressures
         .borrow_mut()
-        .report(service, word.level, now);
-    log::trace!(target_id = target.as_str(), level:% = word.level; "target reported");
+        .report(service, word.pressure, now);
+    log::trace!(target_id = target.as_str(), pressure:% = word.pressure; "target reported");
 }
 
 fn insert(headers: &mut HeaderMap, name: http::HeaderName, text: &str) {
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -15,8 +15,8 @@
 
 /// Tells on an answer which services requests of the route lead to.
 pub const LEADS: HeaderName = HeaderName::from_static("berylhead-leads");
-/// Carries [`HeardLevel`]s on an answer, separated by commas.
-pub const LEVELS: HeaderName = HeaderName::from_static("berylhead-levels");
+/// Carries [`HeardPressure`]s on an answer, separated by commas.
+pub const PRESSURES: HeaderName = HeaderName::from_static("berylhead-pressures");
 
 /// Stands for a field without a value.
 const NONE: &str = "-";
@@ -47,7 +47,7 @@
 /// How one forwarded request ended beside its target.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[display(
-    "{outcome} {} {} {} {} {level} {}",
+    "{outcome} {} {} {} {} {pressure} {}",
     if *reached_target { "target" } else { NONE },
     reason.map_or_else(|| NONE.to_owned(), |reason| reason.to_string()),
     retry_after.as_millis(),
@@ -65,33 +65,33 @@
     pub retry_after: Duration,
     /// Mean time of a run in the target.
     pub run_time: Duration,
-    /// Least rank of root requests that the target can bear.
-    pub level: u16,
+    /// Work in the target over what it can run at once, in thousandths.
+    pub pressure: u16,
     /// Load beside the target, as text.
     pub load: Option<SmolStr>,
 }
 
-/// The level of one service, as a daemon has heard it.
+/// The pressure of one service, as a daemon has heard it.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[display("{service} {level} {}", age.as_millis())]
-pub struct HeardLevel {
+#[display("{service} {pressure} {}", age.as_millis())]
+pub struct HeardPressure {
     /// The service.
     pub service: ServiceName,
-    /// Least rank of root requests that it can bear.
-    pub level: u16,
+    /// Work in its targets over what they can run at once, in thousandths.
+    pub pressure: u16,
     /// How long ago a target of the service said so.
     pub age: Duration,
 }
 
-impl FromStr for HeardLevel {
+impl FromStr for HeardPressure {
     type Err = MalformedHop;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut fields = text.trim().splitn(3, ' ');
         let mut next = |field| fields.next().ok_or(MalformedHop { field });
-        Ok(HeardLevel {
+        Ok(HeardPressure {
             service: next("service")?.into(),
-            level: parsed(next("level")?, "level")?,
+            pressure: parsed(next("pressure")?, "pressure")?,
             age: Duration::from_millis(parsed(next("age")?, "age")?),
         })
     }
@@ -135,7 +135,7 @@
             reason: RefusalReason::parse(next("reason")?),
             retry_after: Duration::from_millis(parsed(next("retry after")?, "retry after")?),
             run_time: Duration::from_micros(parsed(next("run time")?, "run time")?),
-            level: parsed(next("level")?, "level")?,
+            pressure: parsed(next("pressure")?, "pressure")?,
             load: Some(next("load")?)
                 .filter(|text| *text != NONE)
                 .map(Into::into),
--- a/crates/wire/tests/hop.rs
+++ b/crates/wire/tests/hop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::{Class, Outcome, RefusalReason};
-use wire::{HeardLevel, Hop, HopEnd};
+use wire::{HeardPressure, Hop, HopEnd};
 
 fn hop() -> Hop {
     Hop {
@@ -32,7 +32,7 @@
         reason: Some(RefusalReason::Overloaded),
         retry_after: Duration::from_millis(250),
         run_time: Duration::from_micros(15_200),
-        level: 300,
+        pressure: 300,
         load: Some("1,2,3,4,bulk".into()),
     };
     insta::assert_snapshot!(refused.to_string(), @"not-run target overloaded 250 15200 300 1,2,3,4,bulk");
@@ -43,7 +43,7 @@
         reason: None,
         retry_after: Duration::ZERO,
         run_time: Duration::ZERO,
-        level: 0,
+        pressure: 0,
         load: None,
     };
     insta::assert_snapshot!(answered.to_string(), @"answered - - 0 0 0 -");
@@ -67,13 +67,13 @@
 }
 
 #[test]
-fn a_level_reads_back() {
-    let heard = HeardLevel {
+fn a_pressure_reads_back() {
+    let heard = HeardPressure {
         service: "caja".into(),
-        level: 511,
+        pressure: 511,
         age: Duration::from_millis(40),
     };
     insta::assert_snapshot!(heard, @"caja 511 40");
     assert_eq!(heard.to_string().parse(), Ok(heard));
-    assert!("caja 511".parse::<HeardLevel>().is_err());
+    assert!("caja 511".parse::<HeardPressure>().is_err());
 }
