Tell calls from roots by deadlines that are cut short

Cause: a call carries its own deadline where its run has longer; by full deadlines calls looked like roots (3,190 calls of one machine shed as roots in 6 s), and roots like calls of runs that began within 60 ms. Ruled out: the cut of machines itself: with calls told apart, the same seconds fail for one in 100. Change: only requests with less than their route's longest time tell: calls then match a run within 3 ms, callers' returns don't. Silent instances cost their silence. Unknown outcomes and time-outs are logged.

--- a/crates/policy/src/completion.rs
+++ b/crates/policy/src/completion.rs
@@ -20,6 +20,11 @@
 const UNKNOWN_RUN: Duration = Duration::from_millis(20);
 /// Limit until one is known.
 const UNKNOWN_LIMIT: u32 = 16;
+/// Silence that counts, in mean runs of the instance: answers come closer together from one that
+/// has several calls.
+const SILENT_RUNS: u64 = 4;
+/// Least silence that counts: a busy daemon may fall behind that far.
+const LEAST_SILENCE: Duration = Duration::from_millis(100);
 const THOUSAND: u64 = 1_000;
 
 /// What is the same for all instances of a service.
@@ -59,7 +64,7 @@
 /// Cost of one more call to an instance, in microseconds.
 ///
 /// It is made up of the run, the wait for a slot, what a nearly full target adds, the way to
-/// another data centre, and failures of late.
+/// another data centre, silence, and failures of late.
 pub(crate) fn cost(instance: &Instance, near: bool, scale: Scale, now: Instant) -> u64 {
     let run_us = instance.run_time.map_or(scale.mean_run_us, micros).max(1);
     let limit = instance
@@ -75,9 +80,16 @@
     } else {
         scale.mean_run_us * FAR_THOUSANDTHS / THOUSAND
     };
+    // An instance that has answered nothing for a while may take as long again.
+    let silence_us = micros(instance.silence(now));
+    let silent_us = if silence_us > (SILENT_RUNS * run_us).max(micros(LEAST_SILENCE)) {
+        silence_us
+    } else {
+        0
+    };
     let trouble = instance.trouble.thousandths(now);
     let per_trouble = (TROUBLE_RUNS * scale.mean_run_us).max(micros(LEAST_TROUBLE));
-    run_us / RUN_DIVISOR + wait_us + crowd_us + far_us + per_trouble * trouble / THOUSAND
+    run_us / RUN_DIVISOR + wait_us + crowd_us + far_us + silent_us + per_trouble * trouble / THOUSAND
 }
 
 /// Failures of an instance of late, fading with time and with each success.
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -37,6 +37,8 @@
     load: Option<(Load, Instant)>,
     /// Own calls since the last report; it doesn't count them.
     sent_since_report: u32,
+    /// When it last answered, or was sent the first call that waits.
+    heard: Option<Instant>,
     /// Mean time of a run there, as reported.
     pub(crate) run_time: Option<Duration>,
     pub(crate) trouble: Trouble,
@@ -56,6 +58,7 @@
             answered_at: None,
             load: None,
             sent_since_report: 0,
+            heard: None,
             run_time: None,
             trouble: Trouble::default(),
         }
@@ -97,15 +100,25 @@
 
     pub(crate) fn report(&mut self, load: Load, now: Instant) {
         self.load = Some((load, now));
+        self.heard = Some(now);
         self.sent_since_report = 0;
     }
 
     /// Counts one more call there.
-    pub(crate) fn sent(&mut self) {
+    pub(crate) fn sent(&mut self, now: Instant) {
+        if self.in_flight == 0 {
+            self.heard = Some(now);
+        }
         self.in_flight += 1;
         self.sent_since_report = self.sent_since_report.saturating_add(1);
     }
 
+    /// Time for which calls have been waiting there without an answer to any.
+    pub(crate) fn silence(&self, now: Instant) -> Duration {
+        let heard = self.heard.filter(|_| self.in_flight > 0);
+        heard.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Calls that run or wait there, as far as is known: what was reported and sent since,
     /// and at least the own ones.
     pub(crate) fn taken(&self, now: Instant) -> u32 {
--- a/crates/policy/src/leads.rs
+++ b/crates/policy/src/leads.rs
@@ -8,10 +8,10 @@
 
 /// Runs, or requests, after which what was counted is halved.
 const HALVING: u32 = 256;
-/// Runs of which one makes the call, for the call to belong to the route: a call that was
-/// matched to the wrong run is rarer.
-const RUNS_PER_CALL: u32 = 4;
-/// Requests from which a route is taken for one that targets call.
+/// Runs of which one makes a call that is surely its own, for the call to belong to the route:
+/// a call that was matched to the wrong run is rarer.
+const RUNS_PER_CALL: u32 = 8;
+/// Requests with shortened time from which a route is taken for one that targets call.
 const LEAST_REQUESTS: u32 = 8;
 
 /// What is learned of routes by the daemon beside a target.
@@ -20,6 +20,16 @@
     routes: HashMap<SmolStr, RouteLeads>,
 }
 
+/// What a request that begins here is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Began {
+    /// A call of the own target.
+    pub is_call: bool,
+    /// It has less time left than requests of the route may have: a caller's has waited
+    /// before, a call's run ends sooner than the call would.
+    pub is_shortened: bool,
+}
+
 /// What is learned of one route.
 #[derive(Debug, Default)]
 struct RouteLeads {
@@ -27,11 +37,12 @@
     runs: u32,
     /// Calls of those runs, by route.
     calls: HashMap<SmolStr, u32>,
-    /// Requests of the route that began here.
-    requests: u32,
-    /// Those of them that belonged to a run.
-    requests_of_runs: u32,
-    /// Longest time that its callers were ready to wait.
+    /// Requests of the route that began here with less than the longest time left. Callers'
+    /// are those that came back; of a target's calls, those whose run ends sooner.
+    shortened: u32,
+    /// Those of them that surely belonged to a run.
+    shortened_of_runs: u32,
+    /// Longest time that any of them had left.
     longest_wait: Duration,
     /// Services that its requests lead to, as told with their answers.
     told: Vec<ServiceName>,
@@ -51,16 +62,29 @@
         }
     }
 
-    /// Takes note of a request that begins here, and of the route whose run made it.
-    pub fn began(&mut self, route: &SmolStr, parent: Option<&SmolStr>) {
+    /// Takes note of a request that begins here, of the time that it has left, and of the
+    /// route whose run surely made it, if any.
+    pub fn began(
+        &mut self,
+        route: &SmolStr,
+        left: Option<Duration>,
+        parent: Option<&SmolStr>,
+    ) -> Began {
         let leads = self.entry(route);
-        leads.requests += 1;
-        leads.requests_of_runs += u32::from(parent.is_some());
-        if leads.requests >= HALVING {
-            leads.requests /= 2;
-            leads.requests_of_runs /= 2;
+        let is_shortened = left.is_some_and(|left| leads.is_shortened(left));
+        if is_shortened {
+            leads.shortened += 1;
+            leads.shortened_of_runs += u32::from(parent.is_some());
+            if leads.shortened >= HALVING {
+                leads.shortened /= 2;
+                leads.shortened_of_runs /= 2;
+            }
         }
-        if let Some(parent) = parent {
+        let is_call = leads.is_called();
+        if let Some(parent) = parent
+            && is_call
+            && is_shortened
+        {
             let calls = &mut self.entry(parent).calls;
             match calls.get_mut(route) {
                 Some(count) => *count += 1,
@@ -69,23 +93,10 @@
                 }
             }
         }
-    }
-
-    /// True if requests of the route that begin here are calls of the own target: a caller's
-    /// request belongs to a run only by chance.
-    #[must_use]
-    pub fn is_called(&self, route: &SmolStr) -> bool {
-        self.routes.get(route).is_some_and(|leads| {
-            leads.requests >= LEAST_REQUESTS && 2 * leads.requests_of_runs > leads.requests
-        })
-    }
-
-    /// True if a request with this time left came back: the callers of a route are ready to
-    /// wait equally long, and this one has waited before.
-    pub fn came_back(&mut self, route: &SmolStr, left: Duration) -> bool {
-        let leads = self.entry(route);
-        leads.longest_wait = leads.longest_wait.max(left);
-        left < leads.longest_wait * 19 / 20
+        Began {
+            is_call,
+            is_shortened,
+        }
     }
 
     /// Forgets routes that are no longer there.
@@ -132,3 +143,20 @@
         self.routes.get_mut(route).expect("just inserted")
     }
 }
+
+impl RouteLeads {
+    /// True if a request has clearly less time left than others had.
+    fn is_shortened(&mut self, left: Duration) -> bool {
+        /// Callers round to a millisecond and may hand a request over a little late.
+        const TOLERANCE: Duration = Duration::from_millis(2);
+
+        self.longest_wait = self.longest_wait.max(left);
+        left + TOLERANCE < self.longest_wait
+    }
+
+    /// True if requests of the route that begin here are calls of the own target. A caller's
+    /// request that came back lies close to a run's deadline only by chance.
+    fn is_called(&self) -> bool {
+        self.shortened >= LEAST_REQUESTS && 5 * self.shortened_of_runs > 3 * self.shortened
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -89,7 +89,7 @@
 pub use crate::children::ChildRetries;
 pub use crate::edge::EdgeRetries;
 pub use crate::gate::Gate;
-pub use crate::leads::Leads;
+pub use crate::leads::{Began, Leads};
 pub use crate::load::{Load, MalformedLoad};
 pub use crate::pressure::{Pressure, PressureMeter, Pressures};
 pub use crate::resend::ResendBudget;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -79,7 +79,7 @@
         let chosen = self.choose(class, exclude, now);
         match chosen {
             Ok(key) => {
-                self.instances[key].sent();
+                self.instances[key].sent(now);
                 Pick::Chosen(key)
             }
             Err(refusal) => Pick::Refuse(refusal),
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -11,11 +11,12 @@
     pub struct RunKey;
 }
 
-/// How much later than its run's deadline a call's may seem to be: the time that the call
-/// took to get here, up to that of a busy daemon.
+/// How far a call's deadline may lie from its run's for a sure match: both travel in whole
+/// milliseconds, and a call takes some time to get here.
+const SURE_BEFORE: Duration = Duration::from_millis(3);
+const SURE_AFTER: Duration = Duration::from_micros(500);
+/// How much later than its run's deadline a call's may seem to be at a busy daemon.
 const LATE_BY: Duration = Duration::from_millis(60);
-/// How much earlier it may seem to be: deadlines travel in whole milliseconds.
-const EARLY_BY: Duration = Duration::from_millis(3);
 
 /// What the calls of a run inherit from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,15 +61,38 @@
         }
     }
 
-    /// The run to which a call with this deadline belongs, if there is one.
+    /// The run to which a call with this deadline surely belongs: several with nearly the same
+    /// deadline are alike in all that a call inherits but the class.
     #[must_use]
-    pub fn parent_of(&self, deadline: Instant) -> Option<Run> {
-        let least = deadline.checked_sub(LATE_BY).unwrap_or(deadline);
+    pub fn sure_parent(&self, deadline: Instant) -> Option<Run> {
+        self.nearest(deadline, SURE_AFTER, SURE_BEFORE)
+    }
+
+    /// The run that a call of a busy target most likely belongs to.
+    ///
+    /// Where the call's deadline is its own, because its run has longer, any run that has may
+    /// have made it; then the most important of them counts.
+    #[must_use]
+    pub fn likely_parent(&self, deadline: Instant, deadline_is_its_own: bool) -> Option<Run> {
+        if !deadline_is_its_own {
+            return self.nearest(deadline, LATE_BY, SURE_BEFORE);
+        }
+        let from = (deadline, RunKey::default());
+        let longer = self.by_deadline.range(from..);
+        longer
+            .filter_map(|((_, key), ())| self.runs.get(*key))
+            .max_by_key(|run| run.class)
+            .copied()
+    }
+
+    /// The run whose deadline lies closest, from `before` its own to `after` it.
+    fn nearest(&self, deadline: Instant, before: Duration, after: Duration) -> Option<Run> {
+        let least = deadline.checked_sub(before).unwrap_or(deadline);
         let from = (least, RunKey::default());
         let near = self
             .by_deadline
             .range(from..)
-            .take_while(|((at, _), ())| *at <= deadline + EARLY_BY);
+            .take_while(|((at, _), ())| *at <= deadline + after);
         let distance = |at: Instant| {
             at.saturating_duration_since(deadline) + deadline.saturating_duration_since(at)
         };
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -1,5 +1,6 @@
 //! Requests that begin on this machine.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -66,6 +67,9 @@
         Err(status) => return status_only(status),
     };
     let by = request.deadline;
+    let (id, route) = (request.id.clone(), request.route.name.clone());
+    let is_call = request.is_call;
+    let asked: RefCell<Option<InstanceId>> = RefCell::new(None);
     let done = tokio::time::timeout_at(by, async {
         let body = match Payload::read(body).await {
             Ok(body) => body,
@@ -78,10 +82,19 @@
             head: prepared(relay, head),
             body,
         };
-        Sending::new(relay, request).run(forward).await
+        Sending::new(relay, request, &asked).run(forward).await
     });
-    done.await
-        .unwrap_or_else(|_| status_only(StatusCode::GATEWAY_TIMEOUT))
+    done.await.unwrap_or_else(|_| {
+        log::info!(
+            id = id.to_str().unwrap_or("unprintable"),
+            route = route.as_str(),
+            is_call,
+            target_id:% = asked.borrow().clone().unwrap_or_default(),
+            held_ms = millis(arrived.elapsed());
+            "request timed out"
+        );
+        status_only(StatusCode::GATEWAY_TIMEOUT)
+    })
 }
 
 /// A request with what its handling depends on.
@@ -119,16 +132,19 @@
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         let told = time_left(&head.headers, &relay.names.time_left_ms);
-        let run = told.and_then(|left| {
-            let at = (now + left).into_std();
-            relay.runs.borrow().parent_of(at)
-        });
-        let parent_route = run.and_then(|run| relay.admission.route(run.operation));
+        let at = told.map(|left| (now + left).into_std());
+        let runs = relay.runs.borrow();
+        let sure = at.and_then(|at| runs.sure_parent(at));
+        let parent_route = sure.and_then(|run| relay.admission.route(run.operation));
         let mut leads = relay.leads.borrow_mut();
-        leads.began(&route.name, parent_route.as_ref());
-        let is_call = leads.is_called(&route.name);
-        let came_back = told.is_some_and(|left| leads.came_back(&route.name, left));
-        let parent = run.filter(|_| is_call);
+        let began = leads.began(&route.name, told, parent_route.as_ref());
+        let likely = || runs.likely_parent(at?, !began.is_shortened);
+        let sure = sure.filter(|_| began.is_shortened);
+        let parent = if began.is_call {
+            sure.or_else(likely)
+        } else {
+            None
+        };
         let left = told.map_or(route.timeout, |left| left.min(route.timeout));
         let shed_hash = parent.map_or_else(|| xxh3_64(id.as_bytes()), |run| run.shed_hash);
         Ok(Inbound {
@@ -138,8 +154,8 @@
             deadline: now + left,
             shed_hash,
             parent,
-            is_call,
-            came_back,
+            is_call: began.is_call,
+            came_back: began.is_shortened && !began.is_call,
         })
     }
 }
@@ -152,6 +168,8 @@
     asked: Vec<InstanceKey>,
     /// Sends that reached a target, or may have.
     arrivals: u32,
+    /// The target that was asked last.
+    asked_last: &'a RefCell<Option<InstanceId>>,
     /// True after a send of which it is not known whether it ran.
     may_have_run: bool,
 }
@@ -163,12 +181,17 @@
 }
 
 impl<'a> Sending<'a> {
-    fn new(relay: &'a Rc<Relay>, request: Inbound) -> Self {
+    fn new(
+        relay: &'a Rc<Relay>,
+        request: Inbound,
+        asked_last: &'a RefCell<Option<InstanceId>>,
+    ) -> Self {
         Sending {
             relay,
             request,
             asked: Vec::new(),
             arrivals: 0,
+            asked_last,
             may_have_run: false,
         }
     }
@@ -296,6 +319,7 @@
         forward: Forward,
     ) -> Ended {
         self.asked.push(key);
+        self.asked_last.replace(Some(target.id.clone()));
         let began = Instant::now();
         let mut call = Call {
             relay: self.relay,
@@ -334,7 +358,17 @@
                 (rounds_left && allowed, Some(refusal))
             }
             Ended::Unknown { why } => {
-                log::debug!(why:%; "outcome unknown");
+                log::info!(
+                    id = self.request.id.to_str().unwrap_or("unprintable"),
+                    route = self.request.route.name.as_str(),
+                    service = service.as_str(),
+                    target_id:% = self.asked_last.borrow().clone().unwrap_or_default(),
+                    is_call = self.request.is_call,
+                    arrivals = self.arrivals,
+                    held_ms = millis(self.request.arrived.elapsed()),
+                    why:%;
+                    "outcome unknown"
+                );
                 self.arrivals += 1;
                 self.may_have_run = true;
                 let idempotent = self.request.route.repeat == Repeat::Idempotent;
