Spread published states between daemons

Ruled out: refused documents; late parsing. Change: each request and answer between daemons carries what the sender knows (routes::Freshness); who knows less fetches from who knows more. A list that another has read later with the same content counts as read.

--- a/crates/relay/src/beside.rs
+++ b/crates/relay/src/beside.rs
@@ -128,7 +128,7 @@
     let reason = if relay.phase.get() == Phase::Leaving {
         RefusalReason::Leaving
     } else {
-        match relay.own_target() {
+        match &relay.view.borrow().own {
             Some(own) if own.id != hop.target => RefusalReason::NoInstance,
             Some(own) if own.state == routes::TargetState::Draining => RefusalReason::Leaving,
             _ => return None,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,11 +40,13 @@
 pub mod settings;
 pub mod source;
 pub mod start;
+mod pull;
 mod sync;
+mod view;
 mod word;
 
 pub use crate::error::Error;
 pub use crate::names::HeaderNames;
 pub use crate::settings::{Bounds, Listen, Settings};
-pub use crate::source::{Document, Pending, Source, SourceError, State, Watched};
+pub use crate::source::{Document, Parsers, Pending, Source, SourceError, State, Watched};
 pub use crate::start::run;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -1,7 +1,7 @@
 //! Listeners and the connections that they accept.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -58,9 +58,9 @@
 pub(crate) async fn accept(relay: Rc<Relay>, listener: TcpListener, side: Side) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 watch_for_silence(&stream);
-                tokio::task::spawn_local(serve(Rc::clone(&relay), stream, side));
+                tokio::task::spawn_local(serve(Rc::clone(&relay), stream, peer.ip(), side));
             }
             Err(error) => {
                 log::warn!(error:%; "connection not accepted");
@@ -70,7 +70,7 @@
     }
 }
 
-async fn serve(relay: Rc<Relay>, stream: TcpStream, side: Side) {
+async fn serve(relay: Rc<Relay>, stream: TcpStream, peer: IpAddr, side: Side) {
     let limits = relay
         .table()
         .map_or_else(routes::Limits::default, |table| *table.limits());
@@ -85,7 +85,7 @@
         .auto_date_header(false)
         .serve_connection(
             TokioIo::new(stream),
-            service_fn(move |req| respond(Rc::clone(&relay), req, side)),
+            service_fn(move |req| respond(Rc::clone(&relay), req, peer, side)),
         );
     if let Err(error) = connection.await {
         log::debug!(side:?, error:%; "connection ended");
@@ -95,11 +95,12 @@
 async fn respond(
     relay: Rc<Relay>,
     req: Request<Incoming>,
+    peer: IpAddr,
     side: Side,
 ) -> Result<Response<Payload>, Infallible> {
     Ok(match side {
         Side::Outbound => origin::serve(relay, req).await,
-        Side::Mesh => mesh::serve(&relay, req).await,
+        Side::Mesh => mesh::serve(&relay, peer, req).await,
         Side::Ready => ready(&relay),
     })
 }
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -1,5 +1,6 @@
 //! Requests between daemons.
 
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::headers::strip_connection;
 use crate::links::SendError;
 use crate::payload::Payload;
+use crate::pull;
 use crate::relay::{InFlight, Relay};
 use crate::word::{self, Word};
 
@@ -36,6 +38,7 @@
         return (ended, None);
     };
     forward.head.headers.insert(HOP, value);
+    word::tell_view(relay, &mut forward.head.headers);
     let to = relay.daemon_of(target);
     let reply = match relay.links.send(to, forward.into_request()).await {
         Ok(reply) => reply,
@@ -51,6 +54,7 @@
         }
     };
     let mut head = reply.head;
+    word::hear_view(relay, to, &mut head.headers);
     let end = head
         .headers
         .remove(HOP_END)
@@ -97,9 +101,18 @@
 }
 
 /// Runs a request of another daemon in the own target.
-pub(crate) async fn serve(relay: &Rc<Relay>, req: Request<Incoming>) -> Response<Payload> {
-    let _in_flight = InFlight::new(relay);
+pub(crate) async fn serve(
+    relay: &Rc<Relay>,
+    from: IpAddr,
+    req: Request<Incoming>,
+) -> Response<Payload> {
     let (mut head, body) = req.into_parts();
+    let from = SocketAddr::new(from, relay.cfg.listen.mesh.port());
+    word::hear_view(relay, from, &mut head.headers);
+    if let Some(res) = pull::serve(relay, &head) {
+        return res;
+    }
+    let _in_flight = InFlight::new(relay);
     let hop = head
         .headers
         .remove(HOP)
@@ -151,6 +164,7 @@
         res.headers_mut().insert(HOP_END, value);
     }
     word::tell(relay, route, res.headers_mut());
+    word::tell_view(relay, res.headers_mut());
     res.headers_mut()
         .insert("keep-alive", HeaderValue::from_static(IDLE_PROMISE));
     res
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,7 +1,7 @@
 //! What the parts of one daemon share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +19,8 @@
 use crate::links::Links;
 use crate::names::HeaderNames;
 use crate::settings::Settings;
+use crate::source::{Document, Parsers, State};
+use crate::view::{Offered, View};
 
 /// Slots that a target is taken to have until its entry is known: few enough for any.
 const UNKNOWN_SLOTS: u32 = 16;
@@ -56,16 +58,14 @@
     /// Requests that began here or run beside it and have no whole answer yet.
     pub(crate) in_flight: Cell<usize>,
     pub(crate) view: RefCell<View>,
+    /// Decodes the published states.
+    pub(crate) parse: Parsers,
+    /// States that are being fetched from another daemon.
+    pub(crate) fetching: RefCell<HashSet<State>>,
     pub(crate) services: RefCell<HashMap<ServiceName, ServiceState>>,
     splits: RefCell<HashMap<SmolStr, Split>>,
 }
 
-/// What is known of the published states.
-pub(crate) struct View {
-    pub(crate) table: Option<Rc<RouteTable>>,
-    pub(crate) targets: Targets,
-}
-
 /// What this daemon keeps of one service that it calls.
 pub(crate) struct ServiceState {
     pub(crate) router: Router,
@@ -73,7 +73,7 @@
 }
 
 impl Relay {
-    pub(crate) fn new(cfg: Settings, names: HeaderNames) -> Rc<Self> {
+    pub(crate) fn new(cfg: Settings, names: HeaderNames, parse: Parsers) -> Rc<Self> {
         let now = Instant::now();
         let gate = gate_config(UNKNOWN_SLOTS, u32::MAX);
         Rc::new(Relay {
@@ -87,10 +87,9 @@
             windows: RefCell::new(Windows::default()),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
-            view: RefCell::new(View {
-                table: None,
-                targets: Targets::default(),
-            }),
+            view: RefCell::new(View::default()),
+            parse,
+            fetching: RefCell::new(HashSet::new()),
             services: RefCell::new(HashMap::new()),
             splits: RefCell::new(HashMap::new()),
         })
@@ -101,32 +100,43 @@
         self.view.borrow().table.clone()
     }
 
-    /// The entry of the target beside this daemon.
-    pub(crate) fn own_target(&self) -> Option<Target> {
-        let view = self.view.borrow();
-        let own = view.targets.at(self.cfg.target, &self.cfg.service);
-        own.cloned()
-    }
-
-    pub(crate) fn set_table(&self, table: RouteTable) {
-        let kept = |name: &SmolStr| table.routes().iter().any(|route| route.name == *name);
-        self.splits.borrow_mut().retain(|name, _| kept(name));
-        self.leads.borrow_mut().retain(kept);
-        self.view.borrow_mut().table = Some(Rc::new(table));
-        self.refresh_gate();
+    /// Takes over a configuration, unless it is older than the one in force.
+    pub(crate) fn offer_table(&self, table: RouteTable, document: Document) -> Offered {
+        let offered = self.view.borrow_mut().offer_table(table, document);
+        if offered == Offered::Taken
+            && let Some(table) = self.table()
+        {
+            let kept = |name: &SmolStr| table.routes().iter().any(|route| route.name == *name);
+            self.splits.borrow_mut().retain(|name, _| kept(name));
+            self.leads.borrow_mut().retain(kept);
+            self.refresh_gate();
+        }
+        offered
     }
 
-    pub(crate) fn set_targets(&self, targets: Targets) {
-        self.view.borrow_mut().targets = targets;
+    /// Takes over a list of targets, unless it is older than the one that is known.
+    pub(crate) fn offer_targets(
+        &self,
+        listed: &Targets,
+        document: Document,
+        read_at: Instant,
+    ) -> Offered {
+        let mut view = self.view.borrow_mut();
+        let offered = view.offer_targets(listed, document, read_at);
+        if offered == Offered::Known {
+            return offered;
+        }
+        view.own = view
+            .targets
+            .at(self.cfg.target, &self.cfg.service)
+            .cloned();
+        drop(view);
         self.refresh_gate();
-        let names: Vec<ServiceName> = self.services.borrow().keys().cloned().collect();
-        for name in names {
-            let candidates = self.candidates(&name);
-            let now = Instant::now().into_std();
-            if let Some(state) = self.services.borrow_mut().get_mut(&name) {
-                state.router.update(&candidates, now);
-            }
+        let now = Instant::now().into_std();
+        for (name, state) in self.services.borrow_mut().iter_mut() {
+            state.router.update(&self.candidates(name), now);
         }
+        offered
     }
 
     /// Applies a function to what is kept of a service.
@@ -193,8 +203,9 @@
 
     /// Sizes the gate by the own target's entry.
     fn refresh_gate(&self) {
-        let own = self.own_target();
-        let slots = own.map_or(UNKNOWN_SLOTS, |target| target.slots);
+        let view = self.view.borrow();
+        let slots = view.own.as_ref().map_or(UNKNOWN_SLOTS, |own| own.slots);
+        drop(view);
         let table = self.table();
         let service = table
             .as_ref()
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -76,8 +76,15 @@
     pub read: ReadFn,
     /// Waits for a change of the configuration.
     pub watch_table: WatchFn,
+    /// Decodes both states.
+    pub parse: Parsers,
+}
+
+/// Decodes the published states.
+#[derive(Clone, Copy, Debug)]
+pub struct Parsers {
     /// Decodes the configuration.
-    pub parse_table: ParseFn<RouteTable>,
+    pub table: ParseFn<RouteTable>,
     /// Decodes the list of targets; entries that name no target are left out.
-    pub parse_targets: ParseFn<Targets>,
+    pub targets: ParseFn<Targets>,
 }
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -43,7 +43,7 @@
     ];
     log::info!(name = cfg.name.as_str(), service = cfg.service.as_str(); "started");
     let grace = cfg.bounds.grace;
-    let relay = Relay::new(cfg, names);
+    let relay = Relay::new(cfg, names, source.parse);
     let source = Rc::new(source);
     for (listener, side) in listeners {
         tokio::task::spawn_local(listen::accept(Rc::clone(&relay), listener, side));
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -3,19 +3,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use routes::Roster;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::relay::Relay;
 use crate::source::{Document, Source, SourceError, State, Watched};
+use crate::view::Offered;
 
 /// Time for which a watch waits at the source.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time that an answer of the source may take beyond what it was asked to wait: several times
 /// its usual answer, and well below the bound for a new configuration.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time between two reads of the targets: half of the least bound for leaving that is known.
-const TARGETS_INTERVAL: Duration = Duration::from_millis(900);
+/// Age of the list of targets at which this daemon reads it itself: half of the bound for a
+/// target that leaves. It is drawn anew each time between the least and the most, so that
+/// mostly one daemon reads and the others hear of it.
+const LEAST_TARGETS_AGE: Duration = Duration::from_millis(600);
+const MOST_TARGETS_AGE: Duration = Duration::from_millis(1_200);
 /// First and longest time between two tries after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
@@ -75,7 +78,7 @@
             Ok(watched) => {
                 dependency.answered();
                 backoff = Backoff::new();
-                after = take_table(&relay, &source, watched);
+                after = take_table(&relay, watched);
                 if after.is_none() {
                     backoff.wait().await;
                 }
@@ -95,75 +98,76 @@
 }
 
 /// Takes over what a read brought; the revision from which to watch on.
-fn take_table(relay: &Relay, source: &Source, watched: Watched) -> Option<u64> {
+fn take_table(relay: &Relay, watched: Watched) -> Option<u64> {
     match watched {
         Watched::HistoryGone => None,
         Watched::Unchanged(revision) => Some(revision),
         Watched::Changed(document) => {
             let revision = document.revision;
-            offer_table(relay, source, &document);
+            offer(relay, State::Table, document, Instant::now());
             Some(revision)
         }
     }
 }
 
-/// Takes over a configuration unless it is older than the one in force or can't be read.
-fn offer_table(relay: &Relay, source: &Source, document: &Document) {
-    let revision = document.revision;
-    match (source.parse_table)(&document.bytes) {
-        Ok(table) => {
-            let version = table.version();
-            let known = relay.table().map(|table| table.version());
-            if known.is_some_and(|known| known >= version) {
-                return;
-            }
-            let routes = table.routes().len();
-            relay.set_table(table);
-            log::info!(version, revision, routes; "configuration in force");
-        }
-        Err(error) => log::error!(revision, error:%; "configuration refused"),
-    }
-}
-
 /// Keeps the targets up to date.
 pub(crate) async fn follow_targets(relay: Rc<Relay>, source: Rc<Source>) {
     let mut dependency = Dependency::new(State::Targets);
-    let mut roster = Roster::default();
-    let mut newest = 0;
+    let mut backoff = Backoff::new();
     loop {
+        wait_until_old(&relay).await;
         let began = Instant::now();
-        let read = in_time(ANSWER_TIMEOUT, (source.read)(State::Targets)).await;
-        match read {
-            Ok(Some(document)) if document.revision >= newest => {
+        match in_time(ANSWER_TIMEOUT, (source.read)(State::Targets)).await {
+            Ok(document) => {
                 dependency.answered();
-                newest = document.revision;
-                take_targets(&relay, &source, &mut roster, &document);
+                backoff = Backoff::new();
+                if let Some(document) = document {
+                    offer(&relay, State::Targets, document, began);
+                }
             }
-            Ok(_) => dependency.answered(),
             Err(error) => {
                 dependency.failed(&error);
-                roster.lost();
+                relay.view.borrow_mut().targets_lost();
+                backoff.wait().await;
             }
         }
-        let spent = began.elapsed();
-        let pause = TARGETS_INTERVAL.saturating_sub(spent).max(RETRY_PAUSE);
-        sleep(pause.mul_f64(rand::random_range(0.8..1.0))).await;
     }
 }
 
-fn take_targets(relay: &Relay, source: &Source, roster: &mut Roster, document: &Document) {
-    match (source.parse_targets)(&document.bytes) {
-        Ok(targets) => {
-            if roster.update(&targets, Instant::now().into_std()) {
-                let revision = document.revision;
-                let targets = roster.snapshot();
-                log::info!(revision, count = targets.len(); "targets changed");
-                relay.set_targets(targets);
-            }
-        }
-        Err(error) => {
-            log::error!(revision = document.revision, error:%; "list of targets refused");
+/// Returns when the list of targets has to be read again.
+async fn wait_until_old(relay: &Relay) {
+    let most = rand::random_range(LEAST_TARGETS_AGE..MOST_TARGETS_AGE);
+    loop {
+        let Some(read_at) = relay.view.borrow().targets_read_at() else {
+            return;
+        };
+        if read_at.elapsed() >= most {
+            return;
         }
+        sleep_until(read_at + most).await;
+    }
+}
+
+/// Takes over a state as it was published, unless it is older than what is known or can't be
+/// decoded.
+pub(crate) fn offer(relay: &Relay, state: State, document: Document, read_at: Instant) {
+    let revision = document.revision;
+    let result = match state {
+        State::Table => (relay.parse.table)(&document.bytes).map(|table| {
+            let (version, routes) = (table.version(), table.routes().len());
+            if relay.offer_table(table, document) == Offered::Taken {
+                log::info!(version, revision, routes; "configuration in force");
+            }
+        }),
+        State::Targets => (relay.parse.targets)(&document.bytes).map(|targets| {
+            let count = targets.len();
+            if relay.offer_targets(&targets, document, read_at) == Offered::Taken {
+                log::info!(revision, count; "targets changed");
+            }
+        }),
+    };
+    if let Err(error) = result {
+        log::error!(state:%, revision, error:%; "published state refused");
     }
 }
 
--- a/crates/relay/src/word.rs
+++ b/crates/relay/src/word.rs
@@ -1,18 +1,23 @@
 //! What daemons tell each other with each answer, beside the answer itself.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue};
 use model::{InstanceId, ServiceName};
 use policy::{Load, Pressure};
+use routes::ViewStamp;
 use smol_str::SmolStr;
 use tokio::time::Instant;
-use wire::HeardPressure;
-use wire::hop::{LEADS, PRESSURES};
+use wire::hop::{LEADS, PRESSURES, VIEW};
+use wire::{HeardPressure, ViewText};
 
 use crate::admission::Report;
+use crate::pull;
 use crate::relay::Relay;
+use crate::source::State;
 
 /// What is known of a target after a send to it.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +71,49 @@
     }
 }
 
+/// Writes what is known of the published states into the headers of a request or an answer.
+pub(crate) fn tell_view(relay: &Relay, headers: &mut HeaderMap) {
+    let stamp = relay.view.borrow().stamp(Instant::now());
+    let view = ViewText {
+        table: stamp.table,
+        targets: stamp.targets,
+        digest: stamp.digest,
+        age: stamp.age,
+    };
+    insert(headers, VIEW, &view.to_string());
+}
+
+/// Takes what [`tell_view`] wrote out of the headers; what the other daemon knows better is
+/// fetched from it.
+pub(crate) fn hear_view(relay: &Rc<Relay>, from: SocketAddr, headers: &mut HeaderMap) {
+    let Some(value) = headers.remove(VIEW) else {
+        return;
+    };
+    let Some(view) = value.to_str().ok().and_then(|text| text.parse().ok()) else {
+        log::debug!(from:%; "view between daemons ignored");
+        return;
+    };
+    let ViewText {
+        table,
+        targets,
+        digest,
+        age,
+    } = view;
+    let stamp = ViewStamp {
+        table,
+        targets,
+        digest,
+        age,
+    };
+    let heard = relay.view.borrow_mut().hear(stamp, Instant::now());
+    if heard.newer_table {
+        pull::start(relay, from, State::Table);
+    }
+    if heard.newer_targets {
+        pull::start(relay, from, State::Targets);
+    }
+}
+
 /// Takes what [`tell`] wrote out of the headers of an answer.
 pub(crate) fn hear(relay: &Relay, route: &SmolStr, headers: &mut HeaderMap) {
     if let Some(value) = headers.remove(LEADS)
--- /dev/null
+++ b/crates/routes/src/freshness.rs
@@ -0,0 +1,90 @@
+//! How old the known states are, and who knows newer ones.
+
+use std::time::{Duration, Instant};
+
+/// What one daemon knows of the published states, as it tells others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ViewStamp {
+    /// Version of its configuration; 0 without one.
+    pub table: u64,
+    /// Revision at which it knows the list of targets; 0 without one.
+    pub targets: u64,
+    /// Digest of that list.
+    pub digest: u64,
+    /// Time since the list was read, by whoever read it.
+    pub age: Duration,
+}
+
+/// What to do about another daemon's word.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// It has a newer configuration.
+    pub newer_table: bool,
+    /// It has a newer and different list of targets.
+    pub newer_targets: bool,
+}
+
+/// What this daemon knows of the published states, and since when.
+///
+/// A list that another daemon has read later with the same content is as fresh as that read,
+/// so that a fleet needs few reads, however many daemons it has.
+#[derive(Debug, Default)]
+pub struct Freshness {
+    table: u64,
+    targets: u64,
+    digest: u64,
+    /// When the list that is known was last read by anyone.
+    read_at: Option<Instant>,
+}
+
+impl Freshness {
+    /// Takes note of the configuration in force.
+    pub fn took_table(&mut self, version: u64) {
+        self.table = version;
+    }
+
+    /// Takes note of a list of targets that was read at a moment.
+    pub fn took_targets(&mut self, revision: u64, digest: u64, read_at: Instant) {
+        self.targets = revision;
+        self.digest = digest;
+        self.read_at = Some(read_at);
+    }
+
+    /// Revision at which the list of targets is known.
+    #[must_use]
+    pub fn targets_revision(&self) -> u64 {
+        self.targets
+    }
+
+    /// When the list of targets was last read by anyone.
+    #[must_use]
+    pub fn targets_read_at(&self) -> Option<Instant> {
+        self.read_at
+    }
+
+    /// What to tell others.
+    #[must_use]
+    pub fn stamp(&self, now: Instant) -> ViewStamp {
+        let age = self.read_at.map(|at| now.saturating_duration_since(at));
+        ViewStamp {
+            table: self.table,
+            targets: self.targets,
+            digest: self.digest,
+            age: age.unwrap_or_default(),
+        }
+    }
+
+    /// Takes note of what another daemon knows.
+    pub fn hear(&mut self, stamp: ViewStamp, now: Instant) -> Heard {
+        let newer = stamp.targets > self.targets;
+        let same = stamp.digest == self.digest && self.targets > 0;
+        if newer && same {
+            self.targets = stamp.targets;
+            self.read_at = self.read_at.max(now.checked_sub(stamp.age));
+        }
+        Heard {
+            newer_table: stamp.table > self.table,
+            newer_targets: newer && !same,
+        }
+    }
+}
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -32,17 +32,20 @@
 * [`table`]: routes by host and longest prefix
 * [`route`]: one route and what it promises
 * [`split`]: distribution of a route's requests by weight
+* [`freshness`]: how old the known states are, and who knows newer ones
 * [`roster`]: which of the listed targets are still there
 * [`target`]: targets that registered themselves
 */
 #![deny(missing_docs)]
 
+pub mod freshness;
 pub mod roster;
 pub mod route;
 pub mod split;
 pub mod table;
 pub mod target;
 
+pub use crate::freshness::{Freshness, Heard, ViewStamp};
 pub use crate::roster::Roster;
 pub use crate::route::{Limits, Repeat, Route, Service, Share};
 pub use crate::split::Split;
--- a/crates/routes/src/target.rs
+++ b/crates/routes/src/target.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use model::{DataCentre, InstanceId, ServiceName};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// What a target says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -38,6 +39,21 @@
     pub report: u64,
 }
 
+impl Target {
+    /// Digest of all that doesn't change with each report.
+    fn digest(&self) -> u64 {
+        let state = match self.state {
+            TargetState::Ready => 'r',
+            TargetState::Draining => 'd',
+        };
+        let text = format!(
+            "{} {} {} {} {} {state} {}",
+            self.id, self.service, self.address, self.data_centre, self.slots, self.born_ms
+        );
+        xxh3_64(text.as_bytes())
+    }
+}
+
 /// The targets known at one moment, by id.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Targets {
@@ -74,6 +90,13 @@
         self.by_id.get(id)
     }
 
+    /// Digest of all that doesn't change with each report, in any order of targets.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let each = self.by_id.values().map(Target::digest);
+        each.fold(1, u64::wrapping_add)
+    }
+
     /// The target that listens at an address for a service: the one that was started last,
     /// where entries of earlier ones are still listed.
     #[must_use]
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -18,6 +18,9 @@
 /// Carries [`HeardPressure`]s on an answer, separated by commas.
 pub const PRESSURES: HeaderName = HeaderName::from_static("berylhead-pressures");
 
+/// Carries a [`ViewText`] on requests and answers.
+pub const VIEW: HeaderName = HeaderName::from_static("berylhead-view");
+
 /// Stands for a field without a value.
 const NONE: &str = "-";
 
@@ -97,6 +100,36 @@
     }
 }
 
+/// What a daemon knows of the published states.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{table} {targets} {digest:016x} {}", age.as_millis())]
+pub struct ViewText {
+    /// Version of its configuration; 0 without one.
+    pub table: u64,
+    /// Revision at which it knows the list of targets; 0 without one.
+    pub targets: u64,
+    /// Digest of that list.
+    pub digest: u64,
+    /// Time since that list was read.
+    pub age: Duration,
+}
+
+impl FromStr for ViewText {
+    type Err = MalformedHop;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut fields = text.splitn(4, ' ');
+        let mut next = |field| fields.next().ok_or(MalformedHop { field });
+        Ok(ViewText {
+            table: parsed(next("table")?, "table")?,
+            targets: parsed(next("targets")?, "targets")?,
+            digest: u64::from_str_radix(next("digest")?, 16)
+                .map_err(|_| MalformedHop { field: "digest" })?,
+            age: Duration::from_millis(parsed(next("age")?, "age")?),
+        })
+    }
+}
+
 /// A header between daemons that can't be read.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("malformed header between daemons: {field}")]
--- a/crates/wire/tests/hop.rs
+++ b/crates/wire/tests/hop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::{Class, Outcome, RefusalReason};
-use wire::{HeardPressure, Hop, HopEnd};
+use wire::{HeardPressure, Hop, HopEnd, ViewText};
 
 fn hop() -> Hop {
     Hop {
@@ -77,3 +77,16 @@
     assert_eq!(heard.to_string().parse(), Ok(heard));
     assert!("caja 511".parse::<HeardPressure>().is_err());
 }
+
+#[test]
+fn a_view_reads_back() {
+    let view = ViewText {
+        table: 12,
+        targets: 4_711,
+        digest: 0xbeef,
+        age: Duration::from_millis(700),
+    };
+    insta::assert_snapshot!(view, @"12 4711 000000000000beef 700");
+    assert_eq!(view.to_string().parse(), Ok(view));
+    assert!("12 4711 zz 700".parse::<ViewText>().is_err());
+}
