Take a list at an unchanged revision as read when another daemon read it

Cause: the store's revision stays while nothing changes, so that other daemons' reads counted for nothing (395 reads in 18 s by 16 daemons). Ruled out: digests that differ. Change: Freshness takes an equal revision with an equal digest as a confirmation.

--- a/crates/routes/src/freshness.rs
+++ b/crates/routes/src/freshness.rs
@@ -76,15 +76,15 @@
 
     /// Takes note of what another daemon knows.
     pub fn hear(&mut self, stamp: ViewStamp, now: Instant) -> Heard {
-        let newer = stamp.targets > self.targets;
         let same = stamp.digest == self.digest && self.targets > 0;
-        if newer && same {
+        // The revision stays as it is while nothing changes.
+        if same && stamp.targets >= self.targets {
             self.targets = stamp.targets;
             self.read_at = self.read_at.max(now.checked_sub(stamp.age));
         }
         Heard {
             newer_table: stamp.table > self.table,
-            newer_targets: newer && !same,
+            newer_targets: !same && stamp.targets > self.targets,
         }
     }
 }
