Age a list with each daemon that passes on the word of it

A daemon whose own link to the store failed kept targets that others had seen removed. Ruled out: late draining at the targets' daemons; late documents. Change: each hop adds 40 ms to the age; another's read ends an outage; targets that are missing for good expire; a target's daemon refuses when its own target's entry is gone.

--- a/crates/relay/src/beside.rs
+++ b/crates/relay/src/beside.rs
@@ -128,7 +128,9 @@
     let reason = if relay.phase.get() == Phase::Leaving {
         RefusalReason::Leaving
     } else {
-        match &relay.view.borrow().own {
+        let view = relay.view.borrow();
+        match &view.own {
+            None if view.own_was_listed => RefusalReason::Leaving,
             Some(own) if own.id != hop.target => RefusalReason::NoInstance,
             Some(own) if own.state == routes::TargetState::Draining => RefusalReason::Leaving,
             _ => return None,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -121,22 +121,40 @@
         document: Document,
         read_at: Instant,
     ) -> Offered {
-        let mut view = self.view.borrow_mut();
-        let offered = view.offer_targets(listed, document, read_at);
-        if offered == Offered::Known {
-            return offered;
+        let offered = self
+            .view
+            .borrow_mut()
+            .offer_targets(listed, document, read_at);
+        if offered == Offered::Taken {
+            self.targets_changed();
+        }
+        offered
+    }
+
+    /// Forgets targets that are missing for good.
+    pub(crate) fn expire_targets(&self, now: Instant) {
+        let expired = self.view.borrow_mut().expire(now);
+        if expired {
+            let count = self.view.borrow().targets.len();
+            log::info!(count; "targets missing for good");
+            self.targets_changed();
         }
+    }
+
+    /// Takes over what follows from a change of the targets.
+    fn targets_changed(&self) {
+        let mut view = self.view.borrow_mut();
         view.own = view
             .targets
             .at(self.cfg.target, &self.cfg.service)
             .cloned();
+        view.own_was_listed |= view.own.is_some();
         drop(view);
         self.refresh_gate();
         let now = Instant::now().into_std();
         for (name, state) in self.services.borrow_mut().iter_mut() {
             state.router.update(&self.candidates(name), now);
         }
-        offered
     }
 
     /// Applies a function to what is kept of a service.
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -13,8 +13,9 @@
 use crate::source::Source;
 use crate::sync;
 
-/// Time between two looks for connections that have been idle for too long.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks for connections that have been idle and targets that have been
+/// missing for too long.
+const CLEANING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time from the signal to stop in which callers learn that they are to go elsewhere: two
 /// looks at the readiness, one a second, and one more for those under way.
 const FAREWELL: Duration = Duration::from_millis(2_500);
@@ -51,7 +52,7 @@
     tokio::task::spawn_local(sync::follow_table(Rc::clone(&relay), Rc::clone(&source)));
     tokio::task::spawn_local(sync::follow_targets(Rc::clone(&relay), source));
     tokio::task::spawn_local(Rc::clone(&relay.admission).keep_time());
-    tokio::task::spawn_local(close_idle(Rc::clone(&relay)));
+    tokio::task::spawn_local(clean(Rc::clone(&relay)));
     stop.await;
     let told = Instant::now();
     relay.phase.set(Phase::Leaving);
@@ -70,9 +71,11 @@
     }
 }
 
-async fn close_idle(relay: Rc<Relay>) {
+async fn clean(relay: Rc<Relay>) {
     loop {
-        sleep(IDLE_CHECK_INTERVAL).await;
-        relay.links.close_idle(Instant::now());
+        sleep(CLEANING_INTERVAL).await;
+        let now = Instant::now();
+        relay.links.close_idle(now);
+        relay.expire_targets(now);
     }
 }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -15,6 +15,8 @@
     pub(crate) targets: Targets,
     /// The target beside this daemon.
     pub(crate) own: Option<Target>,
+    /// True if it was listed before.
+    pub(crate) own_was_listed: bool,
     freshness: Freshness,
     roster: Roster,
     /// Both states as they were published, for daemons that can't read them.
@@ -67,6 +69,15 @@
         Offered::Taken
     }
 
+    /// Forgets targets that are missing for good; `true` if there were any.
+    pub(crate) fn expire(&mut self, now: Instant) -> bool {
+        let expired = self.roster.expire(now.into_std());
+        if expired {
+            self.targets = self.roster.snapshot();
+        }
+        expired
+    }
+
     /// Takes note that the list of targets could not be read by this daemon.
     pub(crate) fn targets_lost(&mut self) {
         self.roster.lost();
@@ -84,7 +95,12 @@
 
     /// Takes note of what another daemon knows.
     pub(crate) fn hear(&mut self, stamp: ViewStamp, now: Instant) -> Heard {
-        self.freshness.hear(stamp, now.into_std())
+        let now = now.into_std();
+        let heard = self.freshness.hear(stamp, now);
+        if heard.read_later {
+            self.roster.reached(now);
+        }
+        heard
     }
 
     /// The configuration as it was published.
--- a/crates/routes/src/freshness.rs
+++ b/crates/routes/src/freshness.rs
@@ -2,6 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+/// What is added to the age of a list with each daemon that passes on the word of it: more than
+/// a message takes on its way between daemons. Without it, two daemons would confirm an old list
+/// to each other for ever.
+const AGE_PER_HOP: Duration = Duration::from_millis(40);
+
 /// What one daemon knows of the published states, as it tells others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ViewStamp {
@@ -22,6 +27,8 @@
     pub newer_table: bool,
     /// It has a newer and different list of targets.
     pub newer_targets: bool,
+    /// It knows the same list from a later read.
+    pub read_later: bool,
 }
 
 /// What this daemon knows of the published states, and since when.
@@ -78,11 +85,14 @@
     pub fn hear(&mut self, stamp: ViewStamp, now: Instant) -> Heard {
         let same = stamp.digest == self.digest && self.targets > 0;
         // The revision stays as it is while nothing changes.
-        if same && stamp.targets >= self.targets {
+        let read_at = now.checked_sub(stamp.age + AGE_PER_HOP);
+        let read_later = same && stamp.targets >= self.targets && read_at > self.read_at;
+        if read_later {
             self.targets = stamp.targets;
-            self.read_at = self.read_at.max(now.checked_sub(stamp.age));
+            self.read_at = read_at;
         }
         Heard {
+            read_later,
             newer_table: stamp.table > self.table,
             newer_targets: !same && stamp.targets > self.targets,
         }
--- a/crates/routes/src/roster.rs
+++ b/crates/routes/src/roster.rs
@@ -1,6 +1,6 @@
 //! Which of the targets that were ever listed are still there.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use model::InstanceId;
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     present: HashMap<InstanceId, Target>,
+    /// Those of them that are not listed.
+    missing: HashSet<InstanceId>,
     reach: Reach,
 }
 
@@ -39,21 +41,23 @@
         self.reach = Reach::Lost;
     }
 
+    /// Takes note that the list was read, by this daemon or another.
+    pub fn reached(&mut self, now: Instant) {
+        self.reach = match self.reach {
+            Reach::Lost => Reach::Back { since: now },
+            Reach::Back { since } if now.saturating_duration_since(since) >= RETURN_GRACE => {
+                Reach::Steady
+            }
+            reach => reach,
+        };
+    }
+
     /// Takes over a list; `true` if anything but the counters of reports changed.
     pub fn update(&mut self, listed: &Targets, now: Instant) -> bool {
-        if matches!(self.reach, Reach::Lost) {
-            self.reach = Reach::Back { since: now };
-        }
-        if let Reach::Back { since } = self.reach
-            && now.saturating_duration_since(since) >= RETURN_GRACE
-        {
-            self.reach = Reach::Steady;
-        }
-        let keeps_missing = !matches!(self.reach, Reach::Steady);
-        let before = self.present.len();
-        self.present
-            .retain(|id, _| keeps_missing || listed.get(id).is_some());
-        let mut changed = self.present.len() != before;
+        self.reached(now);
+        let unlisted = |id: &&InstanceId| listed.get(id).is_none();
+        self.missing = self.present.keys().filter(unlisted).cloned().collect();
+        let mut changed = self.expire(now);
         for target in listed.iter() {
             let known = self.present.insert(target.id.clone(), target.clone());
             changed |= known.is_none_or(|known| differs(&known, target));
@@ -61,6 +65,22 @@
         changed
     }
 
+    /// Removes targets that are missing for good; `true` if there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let steady = match self.reach {
+            Reach::Steady => true,
+            Reach::Back { since } => now.saturating_duration_since(since) >= RETURN_GRACE,
+            Reach::Lost => false,
+        };
+        if !steady || self.missing.is_empty() {
+            return false;
+        }
+        for id in self.missing.drain() {
+            self.present.remove(&id);
+        }
+        true
+    }
+
     /// The targets that are taken to be there.
     pub fn iter(&self) -> impl Iterator<Item = &Target> {
         self.present.values()
--- /dev/null
+++ b/crates/routes/tests/roster.rs
@@ -0,0 +1,90 @@
+//! Which targets stay when the list lapses, and which go.
+
+use std::time::{Duration, Instant};
+
+use routes::{Roster, Target, TargetState, Targets};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn target(id: &str) -> Target {
+    Target {
+        id: id.into(),
+        service: "caja".into(),
+        address: "10.1.0.8:8301".parse().expect("an address"),
+        data_centre: "norte-a".into(),
+        slots: 25,
+        state: TargetState::Ready,
+        cold: Duration::ZERO,
+        born_ms: 1_000,
+        report: 1,
+    }
+}
+
+fn list(ids: &[&str]) -> Targets {
+    ids.iter().map(|id| target(id)).collect()
+}
+
+fn present(roster: &Roster) -> Vec<String> {
+    let mut ids: Vec<String> = roster.iter().map(|t| t.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn a_target_that_is_no_longer_listed_is_gone() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    assert!(roster.update(&list(&["a", "b"]), now));
+    assert!(roster.update(&list(&["a"]), now + SECOND));
+    assert_eq!(present(&roster), ["a"]);
+}
+
+#[test]
+fn reports_alone_change_nothing() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.update(&list(&["a"]), now);
+    let mut later = target("a");
+    later.report = 9;
+    later.cold = SECOND;
+    assert!(!roster.update(&[later.clone()].into_iter().collect(), now));
+    later.state = TargetState::Draining;
+    assert!(roster.update(&[later].into_iter().collect(), now));
+}
+
+#[test]
+fn a_target_that_lapsed_in_an_outage_stays_until_the_list_has_been_back() {
+    let start = Instant::now();
+    let mut roster = Roster::default();
+    roster.update(&list(&["a", "b"]), start);
+    roster.lost();
+    roster.update(&list(&["a"]), start + 5 * SECOND);
+    assert_eq!(present(&roster), ["a", "b"], "it may be back any moment");
+    assert!(!roster.expire(start + 6 * SECOND));
+    assert!(roster.expire(start + 8 * SECOND));
+    assert_eq!(present(&roster), ["a"]);
+}
+
+#[test]
+fn one_that_is_back_in_time_stays() {
+    let start = Instant::now();
+    let mut roster = Roster::default();
+    roster.update(&list(&["a", "b"]), start);
+    roster.lost();
+    roster.update(&list(&["a"]), start + 5 * SECOND);
+    roster.update(&list(&["a", "b"]), start + 6 * SECOND);
+    assert!(!roster.expire(start + 9 * SECOND));
+    assert_eq!(present(&roster), ["a", "b"]);
+}
+
+#[test]
+fn the_word_of_others_ends_an_outage() {
+    let start = Instant::now();
+    let mut roster = Roster::default();
+    roster.update(&list(&["a", "b"]), start);
+    roster.lost();
+    roster.reached(start + SECOND);
+    roster.reached(start + 4 * SECOND);
+    assert!(roster.update(&list(&["a"]), start + 10 * SECOND));
+    assert_eq!(present(&roster), ["a"]);
+}
