--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -145,11 +145,7 @@
             standing: Standing::Live,
         })
         .collect();
-    let cfg = RouterConfig {
-        own: "reservas-1".into(),
-        data_centre: "norte-a".into(),
-        subset: 16,
-    };
+    let cfg = RouterConfig::new("reservas-1".into(), "norte-a".into(), 16);
     let mut router = Router::new(cfg, SEED, now);
     router.update(&candidates, now);
     let latency = Duration::from_millis(5);
--- a/crates/bench/benches/routing.rs
+++ b/crates/bench/benches/routing.rs
@@ -126,11 +126,11 @@
         let routers = (0..CALLERS)
             .zip(100..)
             .map(|(caller, seed)| {
-                let cfg = RouterConfig {
-                    own: format!("caller-{caller}").into(),
-                    data_centre: NAMES[caller % 2].into(),
-                    subset: INSTANCES,
-                };
+                let cfg = RouterConfig::new(
+                    format!("caller-{caller}").into(),
+                    NAMES[caller % 2].into(),
+                    INSTANCES,
+                );
                 let mut router = Router::new(cfg, seed, begin);
                 router.update(&candidates, begin);
                 router
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,6 +1,8 @@
 //! Logs as JSON lines on standard error or standard output.
 
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -28,20 +30,70 @@
     Stdout,
 }
 
-impl Stream {
-    fn write(self, line: &Value) {
-        let _ = match self {
-            Stream::Stderr => writeln!(std::io::stderr().lock(), "{line}"),
-            Stream::Stdout => writeln!(std::io::stdout().lock(), "{line}"),
+/// Lines that may wait to be written: some seconds of the heaviest load.
+const MAX_WAITING_LINES: usize = 2_048;
+
+/// Writes lines in a thread of its own, so that output that nobody reads holds up no request.
+struct Writer {
+    lines: SyncSender<String>,
+    /// Lines that found no room since the last one that did.
+    dropped: AtomicU64,
+}
+
+impl Writer {
+    fn start(stream: Stream) -> Self {
+        let (lines, waiting) = sync_channel::<String>(MAX_WAITING_LINES);
+        let write_all = move || {
+            while let Ok(mut text) = waiting.recv() {
+                while let Ok(line) = waiting.try_recv() {
+                    text.push_str(&line);
+                }
+                let written = match stream {
+                    Stream::Stderr => std::io::stderr().lock().write_all(text.as_bytes()),
+                    Stream::Stdout => std::io::stdout().lock().write_all(text.as_bytes()),
+                };
+                if written.is_err() {
+                    // There is nowhere left to tell it.
+                    return;
+                }
+            }
         };
+        let spawned = std::thread::Builder::new()
+            .name("log".to_owned())
+            .stack_size(WRITER_STACK_BYTES)
+            .spawn(write_all);
+        if let Err(error) = spawned {
+            eprintln!("no log is written: {error}");
+        }
+        Writer {
+            lines,
+            dropped: AtomicU64::new(0),
+        }
+    }
+
+    fn write(&self, line: &Value) {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        let mut text = String::new();
+        if dropped > 0 {
+            let told = json!({ "level": "warn", "message": "lines dropped", "count": dropped });
+            text = format!("{told}\n");
+        }
+        text.push_str(&line.to_string());
+        text.push('\n');
+        if self.lines.try_send(text).is_err() {
+            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+        }
     }
 }
 
+/// Stack of the writing thread, which only copies text.
+const WRITER_STACK_BYTES: usize = 64 << 10;
+
 /// Installs the logger of the process. A second call changes nothing.
 pub fn install(level: LevelFilter, stream: Stream) {
     let logger: Box<dyn SharedLogger> = Box::new(JsonLines {
         level,
-        stream,
+        writer: Writer::start(stream),
         second: Mutex::new(Second::default()),
     });
     let _ = CombinedLogger::init(vec![logger]);
@@ -50,7 +102,7 @@
 /// Writes one JSON object per record; a record's key-value pairs become its fields.
 struct JsonLines {
     level: LevelFilter,
-    stream: Stream,
+    writer: Writer,
     second: Mutex<Second>,
 }
 
@@ -132,7 +184,7 @@
         let message = record.args().as_str().unwrap_or(OTHER_KINDS);
         let (admitted, left_out) = self.second().admit(record.level(), message, at.as_secs());
         for kind in left_out {
-            self.stream.write(&json!({
+            self.writer.write(&json!({
                 "level": "warn",
                 "message": "lines left out",
                 "kind": kind.message,
@@ -153,7 +205,7 @@
         );
         fields.insert("message".into(), json!(record.args().to_string()));
         let _ = record.key_values().visit(&mut Pairs(&mut fields));
-        self.stream.write(&Value::Object(fields));
+        self.writer.write(&Value::Object(fields));
     }
 
     fn flush(&self) {}
--- a/crates/policy/src/completion.rs
+++ b/crates/policy/src/completion.rs
@@ -31,6 +31,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Scale {
     mean_run_us: u64,
+    /// The shortest run; one of which nothing is known is taken for the best, or it would
+    /// never be tried.
+    least_run_us: u64,
     limit: u32,
 }
 
@@ -38,10 +41,12 @@
     /// The average over the instances of which something is known.
     pub(crate) fn of<'a>(instances: impl Iterator<Item = &'a Instance>) -> Self {
         let (mut runs, mut run_sum, mut limits, mut limit_sum) = (0, 0, 0, 0);
+        let mut least_run = None;
         for instance in instances {
             if let Some(run) = instance.run_time {
                 runs += 1;
                 run_sum += micros(run);
+                least_run = Some(least_run.map_or(run, |least: Duration| least.min(run)));
             }
             if let Some(load) = instance.last_load() {
                 limits += 1;
@@ -50,9 +55,8 @@
         }
         let average = |sum: u64, count: u64| sum.checked_div(count);
         Scale {
-            mean_run_us: average(run_sum, runs)
-                .unwrap_or(micros(UNKNOWN_RUN))
-                .max(1),
+            least_run_us: micros(least_run.unwrap_or(UNKNOWN_RUN)).max(1),
+            mean_run_us: average(run_sum, runs).unwrap_or(micros(UNKNOWN_RUN)).max(1),
             limit: limit_sum
                 .checked_div(limits)
                 .unwrap_or(UNKNOWN_LIMIT)
@@ -66,7 +70,7 @@
 /// It is made up of the run, the wait for a slot, what a nearly full target adds, the way to
 /// another data centre, silence, and failures of late.
 pub(crate) fn cost(instance: &Instance, near: bool, scale: Scale, now: Instant) -> u64 {
-    let run_us = instance.run_time.map_or(scale.mean_run_us, micros).max(1);
+    let run_us = instance.run_time.map_or(scale.least_run_us, micros).max(1);
     let limit = instance
         .last_load()
         .map_or(scale.limit, |load| load.limit)
@@ -89,7 +93,12 @@
     };
     let trouble = instance.trouble.thousandths(now);
     let per_trouble = (TROUBLE_RUNS * scale.mean_run_us).max(micros(LEAST_TROUBLE));
-    run_us / RUN_DIVISOR + wait_us + crowd_us + far_us + silent_us + per_trouble * trouble / THOUSAND
+    run_us / RUN_DIVISOR
+        + wait_us
+        + crowd_us
+        + far_us
+        + silent_us
+        + per_trouble * trouble / THOUSAND
 }
 
 /// Failures of an instance of late, fading with time and with each success.
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -83,15 +83,24 @@
         if returns {
             self.health = Health::ramping(now);
         }
-        let word_expired = self
-            .told_leaving
-            .is_some_and(|at| now.saturating_duration_since(at) >= leaving_life);
-        if returns || word_expired {
+        if returns {
             self.told_leaving = None;
         }
+        self.take_back(leaving_life, now);
         self.standing = standing;
     }
 
+    /// Forgets the instance's own word that it leaves when that is too old; else tells when
+    /// it will be.
+    pub(crate) fn take_back(&mut self, leaving_life: Duration, now: Instant) -> Option<Instant> {
+        let at = self.told_leaving? + leaving_life;
+        if now < at {
+            return Some(at);
+        }
+        self.told_leaving = None;
+        None
+    }
+
     /// Takes the instance's own word that it leaves; a lagging view doesn't take
     /// that back.
     pub(crate) fn leaves(&mut self, now: Instant) {
--- a/crates/policy/src/leads.rs
+++ b/crates/policy/src/leads.rs
@@ -112,6 +112,7 @@
     }
 
     /// Services that requests of a route that begin here lead to, beyond the first.
+    #[must_use]
     pub fn beyond(&self, route: &SmolStr) -> &[ServiceName] {
         self.routes.get(route).map_or(&[], |leads| &leads.told)
     }
--- a/crates/policy/src/pressure.rs
+++ b/crates/policy/src/pressure.rs
@@ -101,13 +101,7 @@
     }
 
     /// Takes over what another daemon had heard some time ago, if that is fresher.
-    pub fn hear(
-        &mut self,
-        service: &ServiceName,
-        pressure: Pressure,
-        age: Duration,
-        now: Instant,
-    ) {
+    pub fn hear(&mut self, service: &ServiceName, pressure: Pressure, age: Duration, now: Instant) {
         let Some(at) = now.checked_sub(age) else {
             return;
         };
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -9,9 +9,7 @@
 use slotmap::SlotMap;
 
 use crate::acceptance::Room;
-use crate::candidate::{
-    CallEnd, Candidate, Choice, InstanceKey, Pick, RouterConfig, Standing,
-};
+use crate::candidate::{CallEnd, Candidate, Choice, InstanceKey, Pick, RouterConfig, Standing};
 use crate::completion::{Scale, cost};
 use crate::eject::{FULL_SHARE, Health, may_eject};
 use crate::instance::Instance;
@@ -37,6 +35,8 @@
     near: Vec<InstanceKey>,
     far: Vec<InstanceKey>,
     suspect: Vec<InstanceKey>,
+    /// When the word of the first instance that said it leaves is no longer believed.
+    return_at: Option<Instant>,
 }
 
 impl Router {
@@ -51,6 +51,7 @@
             near: Vec::new(),
             far: Vec::new(),
             suspect: Vec::new(),
+            return_at: None,
         }
     }
 
@@ -76,6 +77,7 @@
 
     /// Chooses an instance, other than the excluded ones, and counts the call there.
     pub fn pick(&mut self, class: Class, exclude: &[InstanceKey], now: Instant) -> Pick {
+        self.take_back(now);
         let chosen = self.choose(class, exclude, now);
         match chosen {
             Ok(key) => {
@@ -109,6 +111,8 @@
             CallEnd::Answered => instance.answered(latency, now),
             CallEnd::NotRun(RefusalReason::Leaving) => {
                 instance.leaves(now);
+                let at = now + self.cfg.leaving_life;
+                self.return_at = Some(self.return_at.map_or(at, |first| first.min(at)));
                 self.choose_subset();
             }
             CallEnd::NotRun(RefusalReason::NoInstance | RefusalReason::NotReady)
@@ -182,6 +186,17 @@
             .insert(Instance::new(candidate, rank, health))
     }
 
+    /// Takes back instances that said they leave and are still listed after that.
+    fn take_back(&mut self, now: Instant) {
+        if self.return_at.is_none_or(|at| now < at) {
+            return;
+        }
+        let life = self.cfg.leaving_life;
+        let returns = self.instances.values_mut().map(|i| i.take_back(life, now));
+        self.return_at = returns.flatten().min();
+        self.choose_subset();
+    }
+
     /// Sorts the usable instances into the lists from which calls are drawn.
     fn choose_subset(&mut self) {
         self.near.clear();
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -1,6 +1,6 @@
 //! Which run a target's own call belongs to, found without a trace.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use model::{Class, OperationKey};
@@ -43,14 +43,14 @@
 #[derive(Debug, Default)]
 pub struct Runs {
     runs: SlotMap<RunKey, Run>,
-    by_deadline: BTreeMap<(Instant, RunKey), ()>,
+    by_deadline: BTreeSet<(Instant, RunKey)>,
 }
 
 impl Runs {
     /// Takes note that a run begins.
     pub fn begin(&mut self, run: Run) -> RunKey {
         let key = self.runs.insert(run);
-        self.by_deadline.insert((run.deadline, key), ());
+        self.by_deadline.insert((run.deadline, key));
         key
     }
 
@@ -80,7 +80,7 @@
         let from = (deadline, RunKey::default());
         let longer = self.by_deadline.range(from..);
         longer
-            .filter_map(|((_, key), ())| self.runs.get(*key))
+            .filter_map(|(_, key)| self.runs.get(*key))
             .max_by_key(|run| run.class)
             .copied()
     }
@@ -92,11 +92,11 @@
         let near = self
             .by_deadline
             .range(from..)
-            .take_while(|((at, _), ())| *at <= deadline + after);
+            .take_while(|(at, _)| *at <= deadline + after);
         let distance = |at: Instant| {
             at.saturating_duration_since(deadline) + deadline.saturating_duration_since(at)
         };
-        let ((_, key), ()) = near.min_by_key(|((at, _), ())| distance(*at))?;
+        let (_, key) = near.min_by_key(|(at, _)| distance(*at))?;
         self.runs.get(*key).copied()
     }
 
--- /dev/null
+++ b/crates/policy/tests/completion.rs
@@ -0,0 +1,139 @@
+//! Calls go where they are completed soonest, over all data centres.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use model::{Class, RefusalReason};
+use policy::{CallEnd, Candidate, Choice, InstanceKey, Load, Pick, Router, RouterConfig, Standing};
+
+const MS: Duration = Duration::from_millis(1);
+const LIMIT: u32 = 40;
+
+/// One instance in each of four data centres, the first of them the router's own.
+fn router(now: Instant) -> Router {
+    let cfg = RouterConfig {
+        choice: Choice::Completion,
+        ..RouterConfig::new("caller".into(), "norte-0".into(), 16)
+    };
+    let mut router = Router::new(cfg, 1, now);
+    let candidates: Vec<Candidate> = (0..4)
+        .map(|n| Candidate {
+            id: format!("caja-{n}").into(),
+            data_centre: format!("norte-{n}").into(),
+            standing: Standing::Live,
+        })
+        .collect();
+    router.update(&candidates, now);
+    router
+}
+
+fn pick(router: &mut Router, exclude: &[InstanceKey], now: Instant) -> InstanceKey {
+    match router.pick(Class::Standard, exclude, now) {
+        Pick::Chosen(key) => key,
+        Pick::Refuse(refusal) => panic!("refused: {refusal:?}"),
+    }
+}
+
+/// Calls by instance when each answer reports the run time and the work that `report` gives.
+fn shares(
+    router: &mut Router,
+    now: Instant,
+    report: impl Fn(&str) -> (u64, u32),
+) -> BTreeMap<String, u32> {
+    let mut shares = BTreeMap::new();
+    for _ in 0..2_000 {
+        let key = pick(router, &[], now);
+        let id = router.instance(key).expect("just picked").to_string();
+        let (run_ms, in_flight) = report(&id);
+        *shares.entry(id).or_default() += 1;
+        let load = Load {
+            in_flight,
+            limit: LIMIT,
+            queued: 0,
+            queue_delay: Duration::ZERO,
+            floor: Class::Bulk,
+        };
+        router.report_run_time(key, Duration::from_millis(run_ms));
+        router.finish(key, CallEnd::Answered, 30 * MS, Some(load), now);
+    }
+    shares
+}
+
+#[test]
+fn the_own_data_centre_is_kept_while_it_has_room() {
+    let now = Instant::now();
+    let mut router = router(now);
+    let shares = shares(&mut router, now, |_| (30, LIMIT / 4));
+    assert!(shares["caja-0"] > 1_900, "{shares:?}");
+}
+
+#[test]
+fn a_slow_quarter_that_is_full_loses_its_share() {
+    let now = Instant::now();
+    let mut router = router(now);
+    let shares = shares(&mut router, now, |id| match id {
+        "caja-0" => (60, LIMIT),
+        _ => (25, LIMIT / 2),
+    });
+    assert!(shares["caja-0"] < 200, "{shares:?}");
+    assert!(shares.len() == 4, "the others share: {shares:?}");
+}
+
+#[test]
+fn a_grey_target_is_shunned_and_tried_again() {
+    let start = Instant::now();
+    let mut router = router(start);
+    for _ in 0..4 {
+        let key = pick(&mut router, &[], start);
+        assert_eq!(router.instance(key).expect("picked").as_str(), "caja-0");
+        router.finish(key, CallEnd::TargetRefused, MS, None, start);
+        if !matches!(router.pick(Class::Standard, &[], start), Pick::Chosen(k) if k == key) {
+            break;
+        }
+    }
+    let key = pick(&mut router, &[], start);
+    assert_ne!(router.instance(key).expect("picked").as_str(), "caja-0");
+    let later = start + 20_000 * MS;
+    let key = pick(&mut router, &[], later);
+    assert_eq!(router.instance(key).expect("picked").as_str(), "caja-0");
+}
+
+#[test]
+fn a_silent_instance_gets_nothing_more() {
+    let start = Instant::now();
+    let mut router = router(start);
+    shares(&mut router, start, |_| (10, 2));
+    let silent = pick(&mut router, &[], start);
+    let later = start + 400 * MS;
+    for _ in 0..20 {
+        let key = pick(&mut router, &[], later);
+        assert_ne!(key, silent);
+        router.finish(key, CallEnd::Answered, 10 * MS, None, later);
+    }
+}
+
+#[test]
+fn an_instance_that_left_is_asked_again_after_its_life() {
+    let start = Instant::now();
+    let cfg = RouterConfig {
+        choice: Choice::Completion,
+        leaving_life: 1_000 * MS,
+        ..RouterConfig::new("caller".into(), "norte-0".into(), 16)
+    };
+    let mut router = Router::new(cfg, 1, start);
+    let candidates = [Candidate {
+        id: "caja-0".into(),
+        data_centre: "norte-0".into(),
+        standing: Standing::Live,
+    }];
+    router.update(&candidates, start);
+    let key = pick(&mut router, &[], start);
+    let end = CallEnd::NotRun(RefusalReason::Leaving);
+    router.finish(key, end, MS, None, start);
+    assert!(matches!(
+        router.pick(Class::Standard, &[], start),
+        Pick::Refuse(_)
+    ));
+    let later = start + 1_100 * MS;
+    assert_eq!(pick(&mut router, &[], later), key);
+}
--- /dev/null
+++ b/crates/policy/tests/leads.rs
@@ -0,0 +1,80 @@
+//! Where routes lead is learned from calls that name no parent.
+
+use std::time::Duration;
+
+use policy::Leads;
+use smol_str::SmolStr;
+
+const FULL: Duration = Duration::from_millis(700);
+
+fn name(text: &str) -> SmolStr {
+    text.into()
+}
+
+/// Requests of a route of which every second has less than the full time, and of these every
+/// `one_in` lies close to a run of `parent`.
+fn learn(leads: &mut Leads, route: &str, parent: &str, one_in: u32) -> bool {
+    let mut is_call = false;
+    for n in 0..200 {
+        let shortened = n % 2 == 1;
+        let left = if shortened { FULL / 2 } else { FULL };
+        let parent = (shortened && n / 2 % one_in == 0).then(|| name(parent));
+        is_call = leads
+            .began(&name(route), Some(left), parent.as_ref())
+            .is_call;
+    }
+    is_call
+}
+
+#[test]
+fn what_mostly_matches_a_run_is_a_call() {
+    assert!(learn(&mut Leads::default(), "peek", "index", 1));
+}
+
+#[test]
+fn what_matches_by_chance_is_no_call() {
+    assert!(!learn(&mut Leads::default(), "invoice", "index", 4));
+}
+
+#[test]
+fn a_caller_that_has_waited_before_is_told_from_one_that_has_not() {
+    let mut leads = Leads::default();
+    let route = name("listing");
+    assert!(!leads.began(&route, Some(FULL), None).is_shortened);
+    assert!(
+        !leads
+            .began(&route, Some(Duration::from_millis(699)), None)
+            .is_shortened
+    );
+    assert!(leads.began(&route, Some(FULL / 2), None).is_shortened);
+}
+
+#[test]
+fn runs_lead_to_what_their_calls_lead_to() {
+    let mut leads = Leads::default();
+    for _ in 0..50 {
+        leads.ran(&name("index"));
+    }
+    learn(&mut leads, "peek", "index", 1);
+    learn(&mut leads, "stray", "index", 4);
+    leads.told(
+        &name("peek"),
+        ["facturas".into(), "banco".into()].into_iter(),
+    );
+    leads.told(&name("stray"), ["galeria".into()].into_iter());
+    let led: Vec<String> = leads
+        .of_runs(&name("index"))
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(led, ["facturas", "banco"]);
+    assert!(leads.of_runs(&name("peek")).is_empty());
+}
+
+#[test]
+fn routes_that_are_gone_are_forgotten() {
+    let mut leads = Leads::default();
+    leads.told(&name("old"), ["caja".into()].into_iter());
+    leads.retain(|route| route != "old");
+    assert!(leads.beyond(&name("old")).is_empty());
+}
--- /dev/null
+++ b/crates/policy/tests/resend.rs
@@ -0,0 +1,57 @@
+//! One budget of further sends for all daemons, in every window.
+
+use std::time::{Duration, Instant};
+
+use policy::ResendBudget;
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(10);
+const RATIO: f64 = 0.2;
+
+#[test]
+fn nothing_is_spent_without_first_sends_or_slack() {
+    let now = Instant::now();
+    let mut budget = ResendBudget::new(RATIO, WINDOW, now);
+    assert!(!budget.try_spend(0.0, now));
+    assert!(budget.try_spend(3.0, now));
+}
+
+#[test]
+fn what_was_spent_comes_back_after_a_window() {
+    let start = Instant::now();
+    let mut budget = ResendBudget::new(RATIO, WINDOW, start);
+    assert!(budget.try_spend(2.0, start));
+    assert!(!budget.try_spend(2.0, start + WINDOW / 2));
+    assert!(budget.try_spend(2.0, start + WINDOW + WINDOW / 10));
+}
+
+proptest! {
+    /// In each sliding window, further sends stay within the ratio of the first sends of that
+    /// window and the one before it, and the slack.
+    #[test]
+    fn no_window_goes_over_the_ratio(
+        steps in prop::collection::vec((0_u64..400, any::<bool>()), 1..400),
+        slack in 0_u32..5,
+    ) {
+        let start = Instant::now();
+        let mut budget = ResendBudget::new(RATIO, WINDOW, start);
+        let mut now = start;
+        let (mut first, mut further) = (Vec::new(), Vec::new());
+        for (pause_ms, is_first) in steps {
+            now += Duration::from_millis(pause_ms);
+            if is_first {
+                budget.sent_first(now);
+                first.push(now);
+            } else if budget.try_spend(f64::from(slack), now) {
+                further.push(now);
+            }
+        }
+        for end in &further {
+            let within = |length: Duration, at: &&Instant| **at <= *end && **at + length > *end;
+            let spent = further.iter().filter(|at| within(WINDOW, at)).count();
+            let sent = first.iter().filter(|at| within(2 * WINDOW, at)).count();
+            let allowed = RATIO * f64::from(u32::try_from(sent).unwrap()) + f64::from(slack);
+            prop_assert!(f64::from(u32::try_from(spent).unwrap()) <= allowed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/runs.rs
@@ -0,0 +1,63 @@
+//! Calls without a trace find the run that made them.
+
+use std::time::{Duration, Instant};
+
+use model::{Class, OperationKey};
+use policy::{Run, Runs};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn run(class: Class, deadline: Instant) -> Run {
+    Run {
+        operation: OperationKey(class as u16),
+        class,
+        worth: 1,
+        shed_hash: 7,
+        deadline,
+        repeated: false,
+    }
+}
+
+#[test]
+fn a_call_belongs_to_the_run_whose_deadline_it_has() {
+    let now = Instant::now();
+    let mut runs = Runs::default();
+    runs.begin(run(Class::Browse, now + 800 * MS));
+    runs.begin(run(Class::Critical, now + 900 * MS));
+    let parent = runs.sure_parent(now + 899 * MS);
+    assert_eq!(parent.map(|run| run.class), Some(Class::Critical));
+    assert_eq!(runs.sure_parent(now + 850 * MS), None);
+}
+
+#[test]
+fn a_run_that_ended_has_no_calls() {
+    let now = Instant::now();
+    let mut runs = Runs::default();
+    let key = runs.begin(run(Class::Browse, now + 800 * MS));
+    runs.end(key);
+    runs.end(key);
+    assert!(runs.is_empty());
+    assert_eq!(runs.sure_parent(now + 800 * MS), None);
+}
+
+#[test]
+fn a_call_that_was_held_up_still_finds_its_run() {
+    let now = Instant::now();
+    let mut runs = Runs::default();
+    runs.begin(run(Class::Standard, now + 800 * MS));
+    let late = now + 830 * MS;
+    assert_eq!(runs.sure_parent(late), None);
+    let parent = runs.likely_parent(late, false);
+    assert_eq!(parent.map(|run| run.class), Some(Class::Standard));
+}
+
+#[test]
+fn a_call_with_a_deadline_of_its_own_inherits_the_most_important_run_that_lasts_longer() {
+    let now = Instant::now();
+    let mut runs = Runs::default();
+    runs.begin(run(Class::Critical, now + 300 * MS));
+    runs.begin(run(Class::Standard, now + 900 * MS));
+    runs.begin(run(Class::Browse, now + 2_000 * MS));
+    let parent = runs.likely_parent(now + 700 * MS, true);
+    assert_eq!(parent.map(|run| run.class), Some(Class::Standard));
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -7,8 +7,7 @@
 
 use model::{OperationKey, Refusal};
 use policy::{
-    End, Event, Gate, GateConfig, Load, Offer, Permit, Pressure, PressureMeter,
-    WaiterKey, Work,
+    End, Event, Gate, GateConfig, Load, Offer, Permit, Pressure, PressureMeter, WaiterKey, Work,
 };
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
@@ -59,7 +58,11 @@
     fn give_back(&mut self, end: End) {
         if let Some(permit) = self.permit.take() {
             let now = Instant::now().into_std();
-            self.admission.state.borrow_mut().gate.finish(permit, end, now);
+            self.admission
+                .state
+                .borrow_mut()
+                .gate
+                .finish(permit, end, now);
             self.admission.poll();
         }
     }
@@ -113,7 +116,10 @@
     }
 
     pub(crate) fn reconfigure(&self, cfg: GateConfig, now: Instant) {
-        self.state.borrow_mut().gate.reconfigure(cfg, now.into_std());
+        self.state
+            .borrow_mut()
+            .gate
+            .reconfigure(cfg, now.into_std());
         self.poll();
     }
 
--- a/crates/relay/src/beside.rs
+++ b/crates/relay/src/beside.rs
@@ -86,7 +86,11 @@
     if let Some(ended) = refuse_at_once(relay, &hop) {
         return ended;
     }
-    let slot = match relay.admission.enter(work(relay, &hop, arrived, deadline)).await {
+    let slot = match relay
+        .admission
+        .enter(work(relay, &hop, arrived, deadline))
+        .await
+    {
         Ok(slot) => slot,
         Err(refusal) => {
             return Ended::NotRun {
@@ -125,7 +129,7 @@
 
 /// Refuses what the own target must not get.
 fn refuse_at_once(relay: &Relay, hop: &Hop) -> Option<Ended> {
-    let reason = if relay.phase.get() == Phase::Leaving {
+    let reason = if relay.phase.get() != Phase::Serving {
         RefusalReason::Leaving
     } else {
         let view = relay.view.borrow();
@@ -218,12 +222,7 @@
         || head.status == StatusCode::MISDIRECTED_REQUEST
 }
 
-fn refused_by_target(
-    relay: &Relay,
-    head: &Head,
-    slot: Slot,
-    link: crate::links::Link,
-) -> Ended {
+fn refused_by_target(relay: &Relay, head: &Head, slot: Slot, link: crate::links::Link) -> Ended {
     let reason = if head.status == StatusCode::MISDIRECTED_REQUEST {
         RefusalReason::NoInstance
     } else {
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -1,6 +1,6 @@
 //! Connections to targets and to other daemons, kept between requests.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -73,7 +73,6 @@
 #[derive(Default)]
 pub(crate) struct Links {
     idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
-    opened: Cell<u64>,
 }
 
 impl Links {
@@ -118,7 +117,11 @@
         link.idle_life =
             promised_idle(answer).map_or(DEFAULT_IDLE, |promised| promised.mul_f64(IDLE_PART));
         if !link.idle_life.is_zero() {
-            self.idle.borrow_mut().entry(link.to).or_default().push(link);
+            self.idle
+                .borrow_mut()
+                .entry(link.to)
+                .or_default()
+                .push(link);
         }
     }
 
@@ -136,11 +139,6 @@
         self.idle.borrow_mut().remove(&to);
     }
 
-    /// Number of connections opened so far.
-    pub(crate) fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Takes the connection that was used last, so that the others can become idle.
     fn take(&self, to: SocketAddr) -> Option<Link> {
         let now = Instant::now();
@@ -172,7 +170,6 @@
             .map_err(|_| not_sent(&"no connection in time"))?
             .map_err(|error| not_sent(&error))?;
         watch_for_silence(&stream);
-        self.opened.set(self.opened.get() + 1);
         let (requests, task) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -17,7 +17,7 @@
 use crate::links::watch_for_silence;
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
-use crate::{mesh, origin};
+use crate::{mesh, metrics, origin};
 
 /// Connections that may wait to be accepted: callers open hundreds at once in a burst, and a
 /// dropped one is only tried again after a second.
@@ -35,6 +35,7 @@
     Outbound,
     Mesh,
     Ready,
+    Metrics,
 }
 
 /// Binds an address.
@@ -76,7 +77,7 @@
         .map_or_else(routes::Limits::default, |table| *table.limits());
     let idle = match side {
         Side::Mesh => MESH_IDLE_TIMEOUT,
-        Side::Outbound | Side::Ready => limits.idle_timeout,
+        Side::Outbound | Side::Ready | Side::Metrics => limits.idle_timeout,
     };
     let connection = Builder::new()
         .timer(TokioTimer::new())
@@ -102,6 +103,7 @@
         Side::Outbound => origin::serve(relay, req).await,
         Side::Mesh => mesh::serve(&relay, peer, req).await,
         Side::Ready => ready(&relay),
+        Side::Metrics => metrics(&relay),
     })
 }
 
@@ -114,3 +116,14 @@
     }
     res
 }
+
+fn metrics(relay: &Rc<Relay>) -> Response<Payload> {
+    match metrics::text(relay) {
+        Ok(text) => Response::new(Payload::Whole(text.into())),
+        Err(status) => {
+            let mut res = Response::new(Payload::empty());
+            *res.status_mut() = status;
+            res
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,137 @@
+//! Counters and histograms of one daemon; their labels never come from callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::StatusCode;
+use model::Class;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use tokio::time::Instant;
+
+use crate::relay::Relay;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_S: [f64; 13] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// How a request that began here ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    Answered,
+    Shed,
+    Refused,
+    Unknown,
+    TimedOut,
+    Invalid,
+}
+
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::Shed => "shed",
+            Outcome::Refused => "refused",
+            Outcome::Unknown => "unknown",
+            Outcome::TimedOut => "timed_out",
+            Outcome::Invalid => "invalid",
+        }
+    }
+}
+
+/// Counters, histograms and gauges of one daemon.
+pub(crate) struct Metrics {
+    registry: Registry,
+    // Instruments stop recording when their provider is dropped.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    duration: Histogram<f64>,
+    sends: Counter<u64>,
+    gauge: Gauge<f64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("berylhead");
+        Metrics {
+            requests: meter
+                .u64_counter("berylhead_origin_requests")
+                .with_description("requests that began here, by class and outcome")
+                .build(),
+            duration: meter
+                .f64_histogram("berylhead_origin_duration")
+                .with_unit("s")
+                .with_description("time to the answer of requests that began here")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build(),
+            sends: meter
+                .u64_counter("berylhead_sends")
+                .with_description("sends to targets' daemons, by how they ended")
+                .build(),
+            gauge: meter
+                .f64_gauge("berylhead_state")
+                .with_description("what the daemon holds just now, by name")
+                .build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts a request that began here.
+    pub(crate) fn ended(&self, class: Option<Class>, outcome: Outcome, time: Duration) {
+        let class = class.map_or("none", |class| match class {
+            Class::Bulk => "bulk",
+            Class::Browse => "browse",
+            Class::Standard => "standard",
+            Class::Critical => "critical",
+        });
+        let labels = [
+            KeyValue::new("class", class),
+            KeyValue::new("outcome", outcome.name()),
+        ];
+        self.requests.add(1, &labels);
+        self.duration.record(time.as_secs_f64(), &labels);
+    }
+
+    /// Counts one send.
+    pub(crate) fn sent(&self, end: &'static str) {
+        self.sends.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    fn set(&self, name: &'static str, value: f64) {
+        self.gauge.record(value, &[KeyValue::new("name", name)]);
+    }
+}
+
+/// All metrics of a daemon in the Prometheus text format.
+pub(crate) fn text(relay: &Rc<Relay>) -> Result<Vec<u8>, StatusCode> {
+    let now = Instant::now();
+    let report = relay.admission.report(now);
+    let metrics = &relay.metrics;
+    let view = relay.view.borrow();
+    metrics.set("in_flight", f64::from(report.load.in_flight));
+    metrics.set("limit", f64::from(report.load.limit));
+    metrics.set("queued", f64::from(report.load.queued));
+    metrics.set("pressure", report.pressure.ratio());
+    metrics.set("run_time_seconds", report.run_time.as_secs_f64());
+    metrics.set("targets_age_seconds", view.stamp(now).age.as_secs_f64());
+    let version = u32::try_from(view.stamp(now).table).unwrap_or(u32::MAX);
+    metrics.set("configuration_version", f64::from(version));
+    let mut text = Vec::new();
+    TextEncoder::new()
+        .encode(&metrics.registry.gather(), &mut text)
+        .map_err(|error| {
+            log::error!(error:%; "metrics not written");
+            StatusCode::INTERNAL_SERVER_ERROR
+        })?;
+    Ok(text)
+}
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use model::{InstanceId, Refusal, RefusalReason, ServiceName};
+use model::{Class, InstanceId, Refusal, RefusalReason, ServiceName};
 use policy::{CallEnd, InstanceKey, Pick, Run, Short};
 use routes::{Repeat, Route, RouteTable, Target};
 use tokio::time::Instant;
@@ -18,12 +18,16 @@
 use crate::beside::{self, Ended, Forward};
 use crate::headers::strip_connection;
 use crate::mesh;
+use crate::metrics::Outcome;
 use crate::payload::Payload;
 use crate::relay::{InFlight, Phase, Relay, UnderWay, class_of};
 use crate::word::{self, Word};
 
 /// Time after which to ask again a daemon that holds no configuration yet.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time after which to ask again a daemon that is about to end: until then its callers have
+/// been sent to others, or it has been started again.
+const CLOSING_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after which to ask again where no target of the service is known.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Part of the target latency after which a request that was shed is to come back.
@@ -48,7 +52,7 @@
     let mut res = answer(&relay, req).await;
     // The library drops a length that comes beside chunks, so what follows a chunked request
     // on its connection can't be trusted.
-    if chunked || relay.phase.get() == Phase::Leaving {
+    if chunked || relay.phase.get() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
@@ -59,23 +63,38 @@
 async fn answer(relay: &Rc<Relay>, req: Request<Incoming>) -> Response<Payload> {
     let arrived = Instant::now();
     let (head, body) = req.into_parts();
+    if relay.phase.get() == Phase::Closing {
+        relay
+            .metrics
+            .ended(None, Outcome::Refused, arrived.elapsed());
+        return refused(CLOSING_RETRY_AFTER);
+    }
     let Some(table) = relay.table() else {
+        relay
+            .metrics
+            .ended(None, Outcome::Refused, arrived.elapsed());
         return refused(NO_TABLE_RETRY_AFTER);
     };
     let request = match Inbound::read(relay, &table, &head, arrived) {
         Ok(request) => request,
-        Err(status) => return status_only(status),
+        Err(status) => {
+            relay
+                .metrics
+                .ended(None, Outcome::Invalid, arrived.elapsed());
+            return status_only(status);
+        }
     };
     let by = request.deadline;
     let (id, route) = (request.id.clone(), request.route.name.clone());
     let is_call = request.is_call;
+    let class = request.class();
     let asked: RefCell<Option<InstanceId>> = RefCell::new(None);
     let done = tokio::time::timeout_at(by, async {
         let body = match Payload::read(body).await {
             Ok(body) => body,
             Err(error) => {
                 log::debug!(error:%; "request broke off");
-                return status_only(StatusCode::BAD_REQUEST);
+                return (Outcome::Invalid, status_only(StatusCode::BAD_REQUEST));
             }
         };
         let forward = Forward {
@@ -84,7 +103,7 @@
         };
         Sending::new(relay, request, &asked).run(forward).await
     });
-    done.await.unwrap_or_else(|_| {
+    let (outcome, res) = done.await.unwrap_or_else(|_| {
         log::info!(
             id = id.to_str().unwrap_or("unprintable"),
             route = route.as_str(),
@@ -93,8 +112,10 @@
             held_ms = millis(arrived.elapsed());
             "request timed out"
         );
-        status_only(StatusCode::GATEWAY_TIMEOUT)
-    })
+        (Outcome::TimedOut, status_only(StatusCode::GATEWAY_TIMEOUT))
+    });
+    relay.metrics.ended(Some(class), outcome, arrived.elapsed());
+    res
 }
 
 /// A request with what its handling depends on.
@@ -160,6 +181,14 @@
     }
 }
 
+impl Inbound {
+    /// Importance: that of the run that made it, or of its route.
+    fn class(&self) -> Class {
+        let own = class_of(self.route.priority);
+        self.parent.map_or(own, |run| run.class)
+    }
+}
+
 /// One request on its way to one target after the other.
 struct Sending<'a> {
     relay: &'a Rc<Relay>,
@@ -176,7 +205,7 @@
 
 /// What follows from the end of one send.
 enum Next {
-    Answer(Response<Payload>),
+    Answer(Outcome, Response<Payload>),
     Ask(Forward),
 }
 
@@ -196,9 +225,9 @@
         }
     }
 
-    async fn run(mut self, mut forward: Forward) -> Response<Payload> {
+    async fn run(mut self, mut forward: Forward) -> (Outcome, Response<Payload>) {
         let Some(service) = self.relay.next_share(&self.request.route) else {
-            return refused(NO_TARGET_RETRY_AFTER);
+            return (Outcome::Refused, refused(NO_TARGET_RETRY_AFTER));
         };
         let now = Instant::now().into_std();
         self.relay.with_service(&service, |state| {
@@ -210,7 +239,7 @@
         });
         let _under_way = match self.begin(&service) {
             Ok(under_way) => under_way,
-            Err(short) => return self.shed(&short),
+            Err(short) => return (Outcome::Shed, self.shed(&short)),
         };
         loop {
             let (key, target) = match self.pick(&service) {
@@ -220,7 +249,7 @@
             let spare = forward.copy();
             let ended = self.send(&service, key, &target, forward).await;
             match self.judge(&service, ended, spare) {
-                Next::Answer(res) => return res,
+                Next::Answer(outcome, res) => return (outcome, res),
                 Next::Ask(again) => forward = again,
             }
         }
@@ -272,7 +301,8 @@
     /// Time after which a request that was shed is to come back: soon enough to be answered
     /// within its target latency, spread so that not all come at once.
     fn retry_after(&self) -> Duration {
-        let spread = 0.5 + f64::from(u8::try_from(self.request.shed_hash & 0xff).unwrap_or(0)) / 255.0;
+        let spread =
+            0.5 + f64::from(u8::try_from(self.request.shed_hash & 0xff).unwrap_or(0)) / 255.0;
         let aim = self.request.route.target_latency.mul_f64(SHED_RETRY_PART);
         aim.mul_f64(spread)
             .clamp(MIN_SHED_RETRY_AFTER, MAX_SHED_RETRY_AFTER)
@@ -342,6 +372,11 @@
         if let Some(word) = &word {
             word::note(self.relay, service, &target.id, word);
         }
+        self.relay.metrics.sent(match &ended {
+            Ended::Answered { .. } => "answered",
+            Ended::NotRun { .. } => "not_run",
+            Ended::Unknown { .. } => "unknown",
+        });
         call.finish(call_end(&ended), word);
         ended
     }
@@ -349,7 +384,7 @@
     fn judge(&mut self, service: &ServiceName, ended: Ended, spare: Option<Forward>) -> Next {
         let (again, refusal) = match ended {
             Ended::Answered { head, body } => {
-                return Next::Answer(Response::from_parts(head, body));
+                return Next::Answer(Outcome::Answered, Response::from_parts(head, body));
             }
             Ended::NotRun { refusal, at_target } => {
                 self.arrivals += u32::from(at_target);
@@ -375,11 +410,17 @@
                 (idempotent && self.may_send_further(service), None)
             }
         };
-        let left = self.request.deadline.saturating_duration_since(Instant::now());
+        let left = self
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
         match (spare, refusal) {
             (Some(spare), _) if again && left > LEAST_TIME_LEFT => Next::Ask(spare),
-            (_, Some(refusal)) => Next::Answer(self.give_up(service, &refusal)),
-            (_, None) => Next::Answer(status_only(StatusCode::BAD_GATEWAY)),
+            (_, Some(refusal)) => {
+                let (outcome, res) = self.give_up(service, &refusal);
+                Next::Answer(outcome, res)
+            }
+            (_, None) => Next::Answer(Outcome::Unknown, status_only(StatusCode::BAD_GATEWAY)),
         }
     }
 
@@ -395,7 +436,7 @@
 
     /// The answer where no further target takes the request: that it did not run, unless a
     /// send before may have run.
-    fn give_up(&self, service: &ServiceName, refusal: &Refusal) -> Response<Payload> {
+    fn give_up(&self, service: &ServiceName, refusal: &Refusal) -> (Outcome, Response<Payload>) {
         let now = Instant::now();
         log::info!(
             id = self.request.id.to_str().unwrap_or("unprintable"),
@@ -413,14 +454,13 @@
             "request refused"
         );
         if self.may_have_run {
-            return status_only(StatusCode::BAD_GATEWAY);
+            return (Outcome::Unknown, status_only(StatusCode::BAD_GATEWAY));
         }
-        refused(refusal.retry_after)
+        (Outcome::Refused, refused(refusal.retry_after))
     }
 
-    fn class(&self) -> model::Class {
-        let own = class_of(self.request.route.priority);
-        self.request.parent.map_or(own, |run| run.class)
+    fn class(&self) -> Class {
+        self.request.class()
     }
 
     fn hop(&self, target: &Target, now: Instant) -> Hop {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,7 @@
 
 use crate::admission::Admission;
 use crate::links::Links;
+use crate::metrics::Metrics;
 use crate::names::HeaderNames;
 use crate::settings::Settings;
 use crate::source::{Document, Parsers, State};
@@ -42,6 +43,8 @@
     Serving,
     /// Told to stop: takes no work for its target and says on each answer that it closes.
     Leaving,
+    /// About to end: begins nothing more, so that what is in flight can end before.
+    Closing,
 }
 
 /// The state of one daemon.
@@ -49,6 +52,7 @@
     pub(crate) cfg: Settings,
     pub(crate) names: HeaderNames,
     pub(crate) links: Links,
+    pub(crate) metrics: Metrics,
     pub(crate) admission: Rc<Admission>,
     pub(crate) runs: RefCell<Runs>,
     pub(crate) leads: RefCell<Leads>,
@@ -80,6 +84,7 @@
             cfg,
             names,
             links: Links::default(),
+            metrics: Metrics::new(),
             admission: Admission::new(gate, now),
             runs: RefCell::new(Runs::default()),
             leads: RefCell::new(Leads::default()),
@@ -144,10 +149,7 @@
     /// Takes over what follows from a change of the targets.
     fn targets_changed(&self) {
         let mut view = self.view.borrow_mut();
-        view.own = view
-            .targets
-            .at(self.cfg.target, &self.cfg.service)
-            .cloned();
+        view.own = view.targets.at(self.cfg.target, &self.cfg.service).cloned();
         view.own_was_listed |= view.own.is_some();
         drop(view);
         self.refresh_gate();
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -41,6 +41,7 @@
         (listen::bind(cfg.listen.outbound)?, Side::Outbound),
         (listen::bind(cfg.listen.mesh)?, Side::Mesh),
         (listen::bind(cfg.listen.ready)?, Side::Ready),
+        (listen::bind(cfg.listen.metrics)?, Side::Metrics),
     ];
     log::info!(name = cfg.name.as_str(), service = cfg.service.as_str(); "started");
     let grace = cfg.bounds.grace;
@@ -58,6 +59,7 @@
     relay.phase.set(Phase::Leaving);
     log::info!(in_flight = relay.in_flight.get(); "leaving");
     sleep_until(told + FAREWELL).await;
+    relay.phase.set(Phase::Closing);
     let left = grace.mul_f64(GRACE_PART).saturating_sub(FAREWELL);
     let emptied = timeout(left, empty(&relay)).await.is_ok();
     log::info!(emptied, in_flight = relay.in_flight.get(); "stopped");
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -13,7 +13,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time that an answer of the source may take beyond what it was asked to wait: several times
 /// its usual answer, and well below the bound for a new configuration.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Age of the list of targets at which this daemon reads it itself: half of the bound for a
 /// target that leaves. It is drawn anew each time between the least and the most, so that
 /// mostly one daemon reads and the others hear of it.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -21,6 +21,8 @@
 * [`platform`]: the configuration and the instance list, readable and watchable
 * [`listed`]: the entries of that list
 * [`target`]: an instance of a service, with slots, cold starts and draining
+* [`store`]: the metadata store of the users' platform
+* [`backend`]: a target of theirs whose bytes a test writes itself
 * [`plan`]: what a target is started with and what its operations do
 * [`ledger`]: what really ran, to be compared with what callers were told
 * [`answer`]: bodies that a caller can check byte for byte
@@ -36,6 +38,7 @@
 
 pub mod answer;
 pub(crate) mod asked;
+pub mod backend;
 pub mod call;
 pub mod caller;
 pub(crate) mod http_server;
@@ -48,9 +51,11 @@
 pub mod proxy;
 pub(crate) mod pump;
 pub mod random;
+pub mod store;
 pub mod tally;
 pub mod target;
 
+pub use crate::backend::{Act, Backend, Seen};
 pub use crate::call::Call;
 pub use crate::caller::{Caller, NoAnswer, Reply};
 pub use crate::ledger::{Ledger, Run, RunEnd};
@@ -61,5 +66,6 @@
 pub use crate::platform::{Platform, PlatformMode, Serving};
 pub use crate::proxy::{Direction, FaultProxy, Faults};
 pub use crate::random::ServiceTime;
+pub use crate::store::{Store, StoreMode};
 pub use crate::tally::{Record, Report, Second, Tally};
 pub use crate::target::{Health, Target};
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,244 @@
+//! The users' platform's metadata store: items that can be read, listed and watched.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use crate::http_server::{Answer, Body, Hangup, Server};
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// As it should.
+    #[default]
+    Serving,
+    /// With 503.
+    Busy,
+    /// With 429.
+    TurningAway,
+    /// Not at all.
+    Silent,
+    /// By closing the connection.
+    Closing,
+    /// Watches with 410, reads as they should be.
+    WithoutHistory,
+}
+
+/// A store on loopback; it ends when dropped.
+#[derive(Debug)]
+pub struct Store {
+    server: Server,
+    state: Arc<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    inner: Mutex<Inner>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+    /// Keys that were removed, with the revision of the removal.
+    removed: BTreeMap<String, u64>,
+    mode: StoreMode,
+    page: usize,
+    calls: u64,
+}
+
+/// Items on one page, unless told otherwise.
+const PAGE: usize = 500;
+
+impl Store {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// If it can't listen.
+    pub async fn start() -> std::io::Result<Self> {
+        let state = Arc::new(State::default());
+        state.lock().page = PAGE;
+        let shared = Arc::clone(&state);
+        let server = Server::start(None, move |req| {
+            let state = Arc::clone(&shared);
+            async move { serve(&state, req).await }
+        })
+        .await?;
+        Ok(Store { server, state })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) {
+        let mut inner = self.state.lock();
+        inner.revision += 1;
+        let revision = inner.revision;
+        inner.items.insert(key.to_owned(), (value.into(), revision));
+        inner.removed.remove(key);
+        drop(inner);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut inner = self.state.lock();
+        inner.revision += 1;
+        let revision = inner.revision;
+        inner.items.remove(key);
+        inner.removed.insert(key.to_owned(), revision);
+        drop(inner);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Changes how it answers.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.state.lock().mode = mode;
+    }
+
+    /// Changes how many items stand on one page.
+    pub fn set_page(&self, items: usize) {
+        self.state.lock().page = items;
+    }
+
+    /// Calls so far, refused ones too.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.state.lock().calls
+    }
+}
+
+impl State {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn serve(state: &State, req: Request<Incoming>) -> Answer {
+    let mode = {
+        let mut inner = state.lock();
+        inner.calls += 1;
+        inner.mode
+    };
+    match mode {
+        StoreMode::Serving | StoreMode::WithoutHistory => {}
+        StoreMode::Busy => return Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
+        StoreMode::TurningAway => return Ok(status(StatusCode::TOO_MANY_REQUESTS)),
+        StoreMode::Silent => return std::future::pending().await,
+        StoreMode::Closing => return Err(Hangup),
+    }
+    let query = req.uri().query().unwrap_or_default();
+    let ask: BTreeMap<String, String> = form_urlencoded::parse(query.as_bytes())
+        .into_owned()
+        .collect();
+    let text = |name: &str| ask.get(name).map_or("", String::as_str);
+    Ok(match req.uri().path() {
+        "/-/kv-key" => key(state, text("key")),
+        "/-/kv-range" => range(state, text("prefix"), text("after")),
+        "/-/kv-watch" if mode == StoreMode::WithoutHistory => status(StatusCode::GONE),
+        "/-/kv-watch" => {
+            let after = text("after").parse().unwrap_or(0);
+            let wait = text("waitMs")
+                .parse()
+                .map_or(Duration::ZERO, Duration::from_millis);
+            watch(state, text("prefix"), after, wait).await
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    })
+}
+
+fn item(key: &str, (value, revision): &(Vec<u8>, u64)) -> Value {
+    json!({
+        "key": key,
+        "value": STANDARD.encode(value),
+        "revision": revision,
+        "created": revision,
+        "lease": 0,
+    })
+}
+
+fn key(state: &State, key: &str) -> Response<Body> {
+    let inner = state.lock();
+    let Some(found) = inner.items.get(key) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let mut body = item(key, found);
+    body["asOf"] = inner.revision.into();
+    json_body(&body)
+}
+
+fn range(state: &State, prefix: &str, after: &str) -> Response<Body> {
+    let inner = state.lock();
+    let mut found = inner
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+    let items: Vec<Value> = found
+        .by_ref()
+        .take(inner.page)
+        .map(|(key, value)| item(key, value))
+        .collect();
+    let truncated = found.next().is_some();
+    json_body(&json!({ "items": items, "truncated": truncated, "asOf": inner.revision }))
+}
+
+async fn watch(state: &State, prefix: &str, after: u64, wait: Duration) -> Response<Body> {
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let changed = state.changed.notified();
+        if let Some(body) = events(state, prefix, after) {
+            return json_body(&body);
+        }
+        if tokio::time::timeout_at(until, changed).await.is_err() {
+            let revision = state.lock().revision;
+            return json_body(&json!({ "events": [], "asOf": revision }));
+        }
+    }
+}
+
+/// Events after a revision; `None` if there are none.
+fn events(state: &State, prefix: &str, after: u64) -> Option<Value> {
+    let inner = state.lock();
+    let written = inner
+        .items
+        .iter()
+        .filter(|(key, (_, revision))| key.starts_with(prefix) && *revision > after)
+        .map(|(key, value)| item(key, value));
+    let removed = inner
+        .removed
+        .iter()
+        .filter(|(key, revision)| key.starts_with(prefix) && **revision > after)
+        .map(|(key, revision)| json!({ "key": key, "revision": revision, "tombstone": true }));
+    let events: Vec<Value> = written.chain(removed).collect();
+    if events.is_empty() {
+        return None;
+    }
+    Some(json!({ "events": events, "asOf": inner.revision }))
+}
+
+fn json_body(body: &Value) -> Response<Body> {
+    let bytes = Bytes::from(body.to_string());
+    Response::new(Full::new(bytes).boxed())
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut res = Response::new(Full::new(Bytes::new()).boxed());
+    *res.status_mut() = status;
+    res
+}
