Serve the target until its daemon closes, share further sends by class

While a service sheds half of its work, bookings competed with browsing for the budget of further sends. Ruled out: the router's memory of leaving daemons, mended before. Change: a leaving daemon goes on serving its target until it closes; each class may use its own part of the budget.

--- a/crates/policy/src/resend.rs
+++ b/crates/policy/src/resend.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use model::Class;
+
 /// Parts into which the window is divided.
 const BUCKETS: u32 = 20;
-/// Part of the fleet's budget that is used. The rest is left for calls made by
-/// repeated runs and for views that differ.
-const USED_PART: f64 = 0.5;
+/// Parts of the fleet's budget that requests of each class may use, the least important class
+/// first. The rest is left for calls made by repeated runs and for views that differ.
+const USED_PARTS: [f64; Class::ALL.len()] = [0.2, 0.3, 0.55, 0.7];
 
 /// What was sent in one part of the window.
 #[derive(Clone, Copy, Debug, Default)]
@@ -54,16 +56,16 @@
         self.buckets[self.present].further += 1;
     }
 
-    /// Takes one further send out of the budget, unless that is spent; `slack` is this
-    /// daemon's part of what the fleet may add besides.
-    pub fn try_spend(&mut self, slack: f64, now: Instant) -> bool {
+    /// Takes one further send out of the budget, unless what the class may use of it is spent;
+    /// `slack` is this daemon's part of what the fleet may add besides.
+    pub fn try_spend(&mut self, class: Class, slack: f64, now: Instant) -> bool {
         self.turn(now);
         let (mut first, mut further) = (0, 0);
         for bucket in &self.buckets {
             first += bucket.first;
             further += bucket.further;
         }
-        let allowed = USED_PART * (self.ratio * f64::from(first) + slack);
+        let allowed = USED_PARTS[class.index()] * (self.ratio * f64::from(first) + slack);
         if f64::from(further + 1) > allowed {
             return false;
         }
--- a/crates/policy/tests/resend.rs
+++ b/crates/policy/tests/resend.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use model::Class;
 use policy::ResendBudget;
 use proptest::prelude::*;
 
@@ -12,17 +13,37 @@
 fn nothing_is_spent_without_first_sends_or_slack() {
     let now = Instant::now();
     let mut budget = ResendBudget::new(RATIO, WINDOW, now);
-    assert!(!budget.try_spend(0.0, now));
-    assert!(budget.try_spend(3.0, now));
+    assert!(!budget.try_spend(Class::Critical, 0.0, now));
+    assert!(budget.try_spend(Class::Critical, 3.0, now));
 }
 
 #[test]
 fn what_was_spent_comes_back_after_a_window() {
     let start = Instant::now();
     let mut budget = ResendBudget::new(RATIO, WINDOW, start);
-    assert!(budget.try_spend(2.0, start));
-    assert!(!budget.try_spend(2.0, start + WINDOW / 2));
-    assert!(budget.try_spend(2.0, start + WINDOW + WINDOW / 10));
+    assert!(budget.try_spend(Class::Critical, 2.0, start));
+    assert!(!budget.try_spend(Class::Critical, 2.0, start + WINDOW / 2));
+    assert!(budget.try_spend(Class::Critical, 2.0, start + WINDOW + WINDOW / 10));
+}
+
+#[test]
+fn lesser_requests_leave_a_part_of_the_budget() {
+    let now = Instant::now();
+    let mut budget = ResendBudget::new(RATIO, WINDOW, now);
+    for _ in 0..100 {
+        budget.sent_first(now);
+    }
+    let mut spent = |class| {
+        (0..100)
+            .filter(|_| budget.try_spend(class, 0.0, now))
+            .count()
+    };
+    let counts = [Class::Bulk, Class::Browse, Class::Standard, Class::Critical].map(&mut spent);
+    assert_eq!(
+        counts,
+        [4, 2, 5, 3],
+        "each up to its part, less what lesser ones spent"
+    );
 }
 
 proptest! {
@@ -42,7 +63,7 @@
             if is_first {
                 budget.sent_first(now);
                 first.push(now);
-            } else if budget.try_spend(f64::from(slack), now) {
+            } else if budget.try_spend(Class::Critical, f64::from(slack), now) {
                 further.push(now);
             }
         }
--- a/crates/relay/src/beside.rs
+++ b/crates/relay/src/beside.rs
@@ -129,7 +129,7 @@
 
 /// Refuses what the own target must not get.
 fn refuse_at_once(relay: &Relay, hop: &Hop) -> Option<Ended> {
-    let reason = if relay.phase.get() != Phase::Serving {
+    let reason = if relay.phase.get() == Phase::Closing {
         RefusalReason::Leaving
     } else {
         let view = relay.view.borrow();
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -427,11 +427,12 @@
     /// True if the request may reach one more target.
     fn may_send_further(&self, service: &ServiceName) -> bool {
         let slack = self.relay.resend_slack();
+        let class = self.class();
         let now = Instant::now().into_std();
         self.arrivals < self.request.route.max_sends
             && self
                 .relay
-                .with_service(service, |state| state.resends.try_spend(slack, now))
+                .with_service(service, |state| state.resends.try_spend(class, slack, now))
     }
 
     /// The answer where no further target takes the request: that it did not run, unless a
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -41,7 +41,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
     Serving,
-    /// Told to stop: takes no work for its target and says on each answer that it closes.
+    /// Told to stop: not ready, and says on each answer that it closes. Its target may live
+    /// on, so what still comes is served.
     Leaving,
     /// About to end: begins nothing more, so that what is in flight can end before.
     Closing,
