--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -80,7 +80,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     logging::install(log::LevelFilter::Info, Stream::Stdout);
-    on_platform::run(settings)?;
+    on_platform::run(settings, &path)?;
     Ok(ExitCode::SUCCESS)
 }
 
