--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -16,6 +16,7 @@
 use crate::error::{Error, Kind};
 use crate::links::watch_for_silence;
 use crate::payload::Payload;
+use crate::plain::status_only;
 use crate::relay::{Phase, Relay};
 use crate::{mesh, metrics, origin};
 
@@ -110,20 +111,16 @@
 /// Ready while new work can be taken and its route is known.
 fn ready(relay: &Relay) -> Response<Payload> {
     let is_ready = relay.phase.get() == Phase::Serving && relay.table().is_some();
-    let mut res = Response::new(Payload::empty());
-    if !is_ready {
-        *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    res
+    status_only(if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
 }
 
 fn metrics(relay: &Rc<Relay>) -> Response<Payload> {
     match metrics::text(relay) {
         Ok(text) => Response::new(Payload::Whole(text.into())),
-        Err(status) => {
-            let mut res = Response::new(Payload::empty());
-            *res.status_mut() = status;
-            res
-        }
+        Err(status) => status_only(status),
     }
 }
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -17,6 +17,7 @@
 use crate::headers::strip_connection;
 use crate::links::SendError;
 use crate::payload::Payload;
+use crate::plain::status_only;
 use crate::pull;
 use crate::relay::{InFlight, Relay};
 use crate::word::{self, Word};
@@ -118,9 +119,7 @@
         .remove(HOP)
         .and_then(|value| value.to_str().ok()?.parse::<Hop>().ok());
     let Some(hop) = hop else {
-        let mut res = Response::new(Payload::empty());
-        *res.status_mut() = StatusCode::BAD_REQUEST;
-        return res;
+        return status_only(StatusCode::BAD_REQUEST);
     };
     strip_connection(&mut head.headers);
     let route = hop.route.clone();
@@ -169,9 +168,3 @@
         .insert("keep-alive", HeaderValue::from_static(IDLE_PROMISE));
     res
 }
-
-fn status_only(status: StatusCode) -> Response<Payload> {
-    let mut res = Response::new(Payload::empty());
-    *res.status_mut() = status;
-    res
-}
--- a/crates/relay/src/pull.rs
+++ b/crates/relay/src/pull.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::payload::Payload;
+use crate::plain::status_only;
 use crate::relay::Relay;
 use crate::source::{Document, State};
 use crate::sync;
@@ -121,9 +122,7 @@
 
 fn hand_out(found: Option<(u64, Bytes)>, age: Duration) -> Response<Payload> {
     let Some((revision, bytes)) = found else {
-        let mut res = Response::new(Payload::empty());
-        *res.status_mut() = StatusCode::NOT_FOUND;
-        return res;
+        return status_only(StatusCode::NOT_FOUND);
     };
     let mut res = Response::new(Payload::Whole(bytes));
     let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -21,6 +21,8 @@
 const FAREWELL: Duration = Duration::from_millis(2_500);
 /// Part of the grace after which the process ends whatever is in flight, before it is killed.
 const GRACE_PART: f64 = 0.95;
+/// Time for the last answers to leave the process.
+const FLUSH: Duration = Duration::from_millis(50);
 /// Time between two looks whether anything is in flight, while leaving.
 const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -62,6 +64,7 @@
     relay.phase.set(Phase::Closing);
     let left = grace.mul_f64(GRACE_PART).saturating_sub(FAREWELL);
     let emptied = timeout(left, empty(&relay)).await.is_ok();
+    sleep(FLUSH).await;
     log::info!(emptied, in_flight = relay.in_flight.get(); "stopped");
     Ok(())
 }
