Write the last lines of a log before the process ends

Cause: the writing thread was dropped with the process, so that the last lines, such as why it stopped, could be lost. Change: the logger's flush waits for the thread, half a second at the most; main calls it.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use serde_json::{Map, Value, json};
@@ -33,20 +33,35 @@
 /// Lines that may wait to be written: some seconds of the heaviest load.
 const MAX_WAITING_LINES: usize = 2_048;
 
+/// Longest time that the end of a process waits for its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the writing thread is told.
+enum Told {
+    Line(String),
+    /// Everything before has to be written; then the sender is dropped.
+    Flush(SyncSender<()>),
+}
+
 /// Writes lines in a thread of its own, so that output that nobody reads holds up no request.
 struct Writer {
-    lines: SyncSender<String>,
+    told: SyncSender<Told>,
     /// Lines that found no room since the last one that did.
     dropped: AtomicU64,
 }
 
 impl Writer {
     fn start(stream: Stream) -> Self {
-        let (lines, waiting) = sync_channel::<String>(MAX_WAITING_LINES);
+        let (told, waiting) = sync_channel::<Told>(MAX_WAITING_LINES);
         let write_all = move || {
-            while let Ok(mut text) = waiting.recv() {
-                while let Ok(line) = waiting.try_recv() {
-                    text.push_str(&line);
+            while let Ok(first) = waiting.recv() {
+                let mut text = String::new();
+                let mut flushed = Vec::new();
+                for told in std::iter::once(first).chain(waiting.try_iter()) {
+                    match told {
+                        Told::Line(line) => text.push_str(&line),
+                        Told::Flush(tx) => flushed.push(tx),
+                    }
                 }
                 let written = match stream {
                     Stream::Stderr => std::io::stderr().lock().write_all(text.as_bytes()),
@@ -66,7 +81,7 @@
             eprintln!("no log is written: {error}");
         }
         Writer {
-            lines,
+            told,
             dropped: AtomicU64::new(0),
         }
     }
@@ -80,12 +95,24 @@
         }
         text.push_str(&line.to_string());
         text.push('\n');
-        if self.lines.try_send(text).is_err() {
+        if self.told.try_send(Told::Line(text)).is_err() {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
         }
     }
 }
 
+impl Writer {
+    /// Waits until what was told before is written, for a while at the most.
+    fn flush(&self) {
+        let (tx, flushed) = sync_channel(0);
+        if self.told.try_send(Told::Flush(tx)).is_ok() {
+            // Nothing is ever sent: the wait ends when the sender is dropped.
+            let ended = flushed.recv_timeout(FLUSH_TIMEOUT);
+            debug_assert!(ended.is_err());
+        }
+    }
+}
+
 /// Stack of the writing thread, which only copies text.
 const WRITER_STACK_BYTES: usize = 64 << 10;
 
@@ -208,7 +235,9 @@
         self.writer.write(&Value::Object(fields));
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        self.writer.flush();
+    }
 }
 
 impl SharedLogger for JsonLines {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -53,6 +53,7 @@
         Mode::Settings(path) => run(path, options.check),
         Mode::Platform => run_on_platform(options.check),
     };
+    log::logger().flush();
     match ended {
         Ok(code) => code,
         Err(error) => {
@@ -130,6 +131,7 @@
             tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
         });
         log::warn!("second signal, stopping at once");
+        log::logger().flush();
         std::process::exit(1);
     });
     Ok(())
