Ask the other daemon about sends that are lost or overdue

Change: a daemon remembers for the time of their use which sends it handed to its target (policy::Fates); asked by the sender, it says of others that they never run, and keeps to it. Its word counts if it is the same process as before the send. While an answer to an idempotent request is overdue, the daemon is asked whether it is there; if not, the request goes elsewhere. A call given up in silence counts against the instance. Besides: ages of the list, the farewell and the store's timeout follow from the bounds in the settings; a daemon ends once each connection has flushed its last answer, in place of 50 ms; one ViewStamp in place of two; the heartbeat, unused, is not read.

--- a/crates/policy/src/completion.rs
+++ b/crates/policy/src/completion.rs
@@ -17,14 +17,9 @@
 /// most of a second.
 const LEAST_TROUBLE: Duration = Duration::from_millis(300);
 /// Mean run until one is known.
-const UNKNOWN_RUN: Duration = Duration::from_millis(20);
+pub(crate) const UNKNOWN_RUN: Duration = Duration::from_millis(20);
 /// Limit until one is known.
 const UNKNOWN_LIMIT: u32 = 16;
-/// Silence that counts, in mean runs of the instance: answers come closer together from one that
-/// has several calls.
-const SILENT_RUNS: u64 = 4;
-/// Least silence that counts: a busy daemon may fall behind that far.
-const LEAST_SILENCE: Duration = Duration::from_millis(100);
 const THOUSAND: u64 = 1_000;
 
 /// What is the same for all instances of a service.
@@ -65,6 +60,12 @@
     }
 }
 
+impl Scale {
+    fn least_run(self) -> Duration {
+        Duration::from_micros(self.least_run_us)
+    }
+}
+
 /// Cost of one more call to an instance, in microseconds.
 ///
 /// It is made up of the run, the wait for a slot, what a nearly full target adds, the way to
@@ -85,9 +86,8 @@
         scale.mean_run_us * FAR_THOUSANDTHS / THOUSAND
     };
     // An instance that has answered nothing for a while may take as long again.
-    let silence_us = micros(instance.silence(now));
-    let silent_us = if silence_us > (SILENT_RUNS * run_us).max(micros(LEAST_SILENCE)) {
-        silence_us
+    let silent_us = if instance.is_silent(scale.least_run(), now) {
+        micros(instance.silence(now))
     } else {
         0
     };
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -19,6 +19,11 @@
 const QUEUED_WEIGHT: u32 = 2;
 /// Time after which the average of an idle instance counts half.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Silence that counts, in mean runs of the instance: answers come closer together from one that
+/// has several calls.
+const SILENT_RUNS: u32 = 4;
+/// Least silence that counts: a busy daemon may fall behind that far.
+const LEAST_SILENCE: Duration = Duration::from_millis(100);
 /// Time that a call is taken to cost before any has been answered.
 const UNKNOWN_LATENCY_US: u64 = 1_000;
 
@@ -128,6 +133,13 @@
         heard.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
+    /// True if it has been silent for longer than its runs explain; `unknown_run` stands for
+    /// their mean time until that is reported.
+    pub(crate) fn is_silent(&self, unknown_run: Duration, now: Instant) -> bool {
+        let run = self.run_time.unwrap_or(unknown_run);
+        self.silence(now) > (run * SILENT_RUNS).max(LEAST_SILENCE)
+    }
+
     /// Calls that run or wait there, as far as is known: what was reported and sent since,
     /// and at least the own ones.
     pub(crate) fn taken(&self, now: Instant) -> u32 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 * [`gate`]: admission to one target: limit, queue, order of shedding
 * [`settings`]: what a gate is built from
 * [`work`]: what is offered to a gate and what comes back
+* [`fates`]: whether a send whose answer was lost has begun to run
 * [`leads`]: where requests of a route lead, learned from their calls
 * [`load`]: what a daemon tells others about its load
 * [`budget`]: retries that one request may cost over its whole tree
@@ -56,6 +57,7 @@
 pub mod candidate;
 pub mod children;
 pub mod edge;
+pub mod fates;
 pub mod gate;
 pub mod leads;
 pub mod load;
@@ -86,6 +88,7 @@
 pub use crate::candidate::{CallEnd, Candidate, Choice, InstanceKey, Pick, RouterConfig, Standing};
 pub use crate::children::ChildRetries;
 pub use crate::edge::EdgeRetries;
+pub use crate::fates::{Fates, SendKey};
 pub use crate::gate::Gate;
 pub use crate::leads::{Began, Leads};
 pub use crate::load::{Load, MalformedLoad};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -10,7 +10,7 @@
 
 use crate::acceptance::Room;
 use crate::candidate::{CallEnd, Candidate, Choice, InstanceKey, Pick, RouterConfig, Standing};
-use crate::completion::{Scale, cost};
+use crate::completion::{Scale, UNKNOWN_RUN, cost};
 use crate::eject::{FULL_SHARE, Health, may_eject};
 use crate::instance::Instance;
 use crate::load::Load;
@@ -100,6 +100,13 @@
         let Some(instance) = self.instances.get_mut(key) else {
             return;
         };
+        // Given up while nothing at all was heard of the instance: that is no fault of the caller.
+        let gave_up = end == CallEnd::Cancelled && self.cfg.choice == Choice::Completion;
+        let end = if gave_up && instance.is_silent(UNKNOWN_RUN, now) {
+            CallEnd::Late
+        } else {
+            end
+        };
         instance.in_flight = instance.in_flight.saturating_sub(1);
         if let Some(load) = load {
             instance.report(load, now);
@@ -122,6 +129,12 @@
         }
     }
 
+    /// Mean time of a run in an instance, as it reported.
+    #[must_use]
+    pub fn run_time(&self, key: InstanceKey) -> Option<Duration> {
+        self.instances.get(key)?.run_time
+    }
+
     /// Takes note of the mean time of a run that an instance reports.
     pub fn report_run_time(&mut self, key: InstanceKey, time: Duration) {
         if let Some(instance) = self.instances.get_mut(key) {
--- a/crates/policy/tests/completion.rs
+++ b/crates/policy/tests/completion.rs
@@ -79,6 +79,34 @@
     assert!(shares.len() == 4, "the others share: {shares:?}");
 }
 
+#[test]
+fn a_silent_instance_is_shunned_after_those_who_waited_gave_up() {
+    let start = Instant::now();
+    let mut router = router(start);
+    let key = pick(&mut router, &[], start);
+    router.report_run_time(key, 20 * MS);
+    router.finish(key, CallEnd::Answered, 20 * MS, None, start);
+    let first = pick(&mut router, &[], start);
+    assert_eq!(first, key, "the own data centre first");
+    let given_up = start + 1_000 * MS;
+    router.finish(first, CallEnd::Cancelled, 1_000 * MS, None, given_up);
+    assert_ne!(pick(&mut router, &[], given_up), key);
+    assert_ne!(pick(&mut router, &[], given_up + 300 * MS), key);
+    let much_later = given_up + 6_000 * MS;
+    assert_eq!(pick(&mut router, &[], much_later), key, "tried again");
+}
+
+#[test]
+fn a_caller_that_leaves_early_tells_nothing_of_the_instance() {
+    let start = Instant::now();
+    let mut router = router(start);
+    let key = pick(&mut router, &[], start);
+    router.report_run_time(key, 20 * MS);
+    let left = start + 60 * MS;
+    router.finish(key, CallEnd::Cancelled, 60 * MS, None, left);
+    assert_eq!(pick(&mut router, &[], left), key);
+}
+
 #[test]
 fn a_grey_target_is_shunned_and_tried_again() {
     let start = Instant::now();
--- a/crates/proof/src/rig.rs
+++ b/crates/proof/src/rig.rs
@@ -1,7 +1,9 @@
 //! The processes and stand-ins of one proof.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 use anyhow::Context;
 use config::Document;
@@ -191,9 +193,24 @@
     ///
     /// # Panics
     ///
-    /// If it does not become ready.
+    /// If it does not become ready; the last answer is then printed, or that one is missing.
     pub async fn until_ready(&self, id: &str) {
-        until(&format!("{id} is ready"), async || self.is_ready(id).await).await;
+        let seen = LastSeen::new(id, self.node(id).daemon.bound().admin);
+        let ready = async || {
+            seen.replace("asked, no answer yet".to_owned());
+            match self.admin(id, "ready").await {
+                Ok((StatusCode::OK, _)) => true,
+                Ok((status, text)) => {
+                    seen.replace(format!("{status} {text}"));
+                    false
+                }
+                Err(error) => {
+                    seen.replace(format!("{error:#}"));
+                    false
+                }
+            }
+        };
+        until(&format!("{id} is ready"), ready).await;
     }
 
     /// Waits until a daemon knows of so many live instances.
@@ -260,12 +277,44 @@
         }
         for node in &self.nodes {
             let log = node.daemon.log();
+            let running = Path::new(&format!("/proc/{}/stat", node.daemon.pid())).exists();
+            eprintln!("pid {} exists: {running}", node.daemon.pid());
             let shown = log.len().saturating_sub(SHOWN_LOG_LINES);
             eprintln!("--- {} ---\n{}", node.spec.id, log[shown..].join("\n"));
         }
     }
 }
 
+/// What was seen last of a daemon that is waited for; printed if the wait ends in a panic.
+struct LastSeen<'a> {
+    id: &'a str,
+    admin: SocketAddr,
+    text: Mutex<String>,
+}
+
+impl<'a> LastSeen<'a> {
+    fn new(id: &'a str, admin: SocketAddr) -> Self {
+        LastSeen {
+            id,
+            admin,
+            text: Mutex::default(),
+        }
+    }
+
+    fn replace(&self, text: String) {
+        *self.text.lock().unwrap_or_else(PoisonError::into_inner) = text;
+    }
+}
+
+impl Drop for LastSeen<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+            eprintln!("{} at {}: {text}", self.id, self.admin);
+        }
+    }
+}
+
 /// A directory of this rig alone, removed when dropped.
 #[derive(Debug)]
 struct Directory(PathBuf);
--- a/crates/relay/src/beside.rs
+++ b/crates/relay/src/beside.rs
@@ -7,11 +7,12 @@
 use http::response::Parts as Head;
 use http::{HeaderValue, Method, Request, StatusCode, Uri};
 use model::{Refusal, RefusalReason};
-use policy::{End, Run, Work};
+use policy::{End, Run, SendKey, Work};
 use tokio::time::Instant;
 use wire::Hop;
 
 use crate::admission::Slot;
+use crate::fate;
 use crate::headers::strip_connection;
 use crate::links::{Reply, SendError};
 use crate::payload::Payload;
@@ -107,6 +108,9 @@
     let Ok(left_ms @ 1..) = u64::try_from(left.as_millis()) else {
         return Ended::not_run(RefusalReason::Deadline, ELSEWHERE_RETRY_AFTER);
     };
+    if !fate::begin(relay, SendKey(hop.send), deadline) {
+        return Ended::not_run(RefusalReason::Cancelled, ELSEWHERE_RETRY_AFTER);
+    }
     let headers = &mut forward.head.headers;
     headers.insert(relay.names.time_left_ms.clone(), HeaderValue::from(left_ms));
     if let Ok(id) = HeaderValue::from_str(hop.target.as_str()) {
@@ -124,7 +128,11 @@
             repeated: hop.attempt > 0,
         },
     );
-    send(relay, forward, slot, run).await
+    let ended = send(relay, forward, slot, run).await;
+    if matches!(ended, Ended::NotRun { .. }) {
+        relay.fates.borrow_mut().refused(SendKey(hop.send));
+    }
+    ended
 }
 
 /// Refuses what the own target must not get.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod admission;
 mod beside;
 pub mod error;
+mod fate;
 mod headers;
 mod inbound;
 mod links;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use crate::links::watch_for_silence;
 use crate::payload::Payload;
 use crate::plain::status_only;
-use crate::relay::{Phase, Relay};
+use crate::relay::{Connected, Phase, Relay};
 use crate::{mesh, metrics, origin};
 
 /// Connections that may wait to be accepted: callers open hundreds at once in a burst, and a
@@ -73,6 +74,8 @@
 }
 
 async fn serve(relay: Rc<Relay>, stream: TcpStream, peer: IpAddr, side: Side) {
+    let _connected = Connected::new(&relay);
+    let mut disconnect = relay.disconnect.subscribe();
     let limits = relay
         .table()
         .map_or_else(routes::Limits::default, |table| *table.limits());
@@ -87,9 +90,17 @@
         .auto_date_header(false)
         .serve_connection(
             TokioIo::new(stream),
-            service_fn(move |req| respond(Rc::clone(&relay), req, peer, side)),
+            service_fn(|req| respond(Rc::clone(&relay), req, peer, side)),
         );
-    if let Err(error) = connection.await {
+    let mut connection = pin!(connection);
+    let result = tokio::select! {
+        result = &mut connection => result,
+        _ = disconnect.wait_for(|disconnect| *disconnect) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
         log::debug!(side:?, error:%; "connection ended");
     }
 }
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use model::{Outcome, Refusal, RefusalReason};
+use policy::SendKey;
 use routes::Target;
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::Instant;
@@ -14,6 +15,7 @@
 use wire::{Hop, HopEnd};
 
 use crate::beside::{self, Ended, Forward};
+use crate::fate;
 use crate::headers::strip_connection;
 use crate::links::SendError;
 use crate::payload::Payload;
@@ -27,11 +29,27 @@
 /// Time for which daemons keep idle connections between them.
 const IDLE_PROMISE: &str = "timeout=30";
 
+/// What to do about an answer that is overdue or lost.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum IfLost {
+    /// Nothing is lost by another run, so silence is enough to give up.
+    SendAgain {
+        /// Time after which the answer is overdue.
+        overdue: Duration,
+    },
+    /// Another run is allowed only if there was none.
+    AskFate {
+        /// End of its use.
+        deadline: Instant,
+    },
+}
+
 /// Sends a request to the daemon beside a target; the load there comes with the answer.
 pub(crate) async fn send(
     relay: &Rc<Relay>,
     target: &Target,
     hop: &Hop,
+    lost: IfLost,
     mut forward: Forward,
 ) -> (Ended, Option<Word>) {
     let Ok(value) = HeaderValue::from_str(&hop.to_string()) else {
@@ -41,7 +59,13 @@
     forward.head.headers.insert(HOP, value);
     word::tell_view(relay, &mut forward.head.headers);
     let to = relay.daemon_of(target);
-    let reply = match relay.links.send(to, forward.into_request()).await {
+    let life = relay.lives.of(to);
+    let sending = relay.links.send(to, forward.into_request());
+    let result = match lost {
+        IfLost::SendAgain { overdue } => fate::while_alive(relay, to, overdue, sending).await,
+        IfLost::AskFate { .. } => sending.await,
+    };
+    let reply = match result {
         Ok(reply) => reply,
         Err(SendError::NotSent(why)) => {
             log::debug!(target_id = target.id.as_str(), why:%; "daemon not reached");
@@ -51,6 +75,13 @@
         }
         Err(SendError::Broken(why)) => {
             relay.links.forget(to);
+            let send = SendKey(hop.send);
+            if let IfLost::AskFate { deadline } = lost
+                && fate::never_runs(relay, to, life, send, deadline).await
+            {
+                let ended = Ended::not_run(RefusalReason::NoInstance, UNREACHABLE_RETRY_AFTER);
+                return (ended, None);
+            }
             return (Ended::Unknown { why }, None);
         }
     };
@@ -64,6 +95,7 @@
         let why = format!("answer {} without its end", head.status);
         return (Ended::Unknown { why }, None);
     };
+    relay.lives.told(to, end.life);
     let word = Some(Word {
         load: end.load.as_ref().and_then(|load| load.parse().ok()),
         run_time: end.run_time,
@@ -110,7 +142,7 @@
     let (mut head, body) = req.into_parts();
     let from = SocketAddr::new(from, relay.cfg.listen.mesh.port());
     word::hear_view(relay, from, &mut head.headers);
-    if let Some(res) = pull::serve(relay, &head) {
+    if let Some(res) = pull::serve(relay, &head).or_else(|| fate::serve(relay, &head)) {
         return res;
     }
     let _in_flight = InFlight::new(relay);
@@ -123,6 +155,7 @@
     };
     strip_connection(&mut head.headers);
     let route = hop.route.clone();
+    let id = head.headers.get(&relay.names.request_id).cloned();
     let ended = match Payload::read(body).await {
         Ok(body) => beside::run(relay, hop, Forward { head, body }).await,
         Err(error) => {
@@ -130,10 +163,15 @@
             Ended::not_run(RefusalReason::Cancelled, Duration::ZERO)
         }
     };
-    answer(relay, &route, ended)
+    answer(relay, id.as_ref(), &route, ended)
 }
 
-fn answer(relay: &Relay, route: &SmolStr, ended: Ended) -> Response<Payload> {
+fn answer(
+    relay: &Relay,
+    id: Option<&HeaderValue>,
+    route: &SmolStr,
+    ended: Ended,
+) -> Response<Payload> {
     let report = relay.admission.report(Instant::now());
     let mut end = HopEnd {
         outcome: Outcome::Answered,
@@ -142,6 +180,7 @@
         retry_after: Duration::ZERO,
         run_time: report.run_time,
         pressure: report.pressure.into(),
+        life: relay.life,
         load: Some(report.load.to_smolstr()),
     };
     let mut res = match ended {
@@ -154,7 +193,12 @@
             status_only(StatusCode::SERVICE_UNAVAILABLE)
         }
         Ended::Unknown { why } => {
-            log::debug!(why:%; "outcome unknown beside the target");
+            log::info!(
+                id = id.and_then(|id| id.to_str().ok()).unwrap_or("unprintable"),
+                route = route.as_str(),
+                why:%;
+                "outcome unknown beside the target"
+            );
             end.outcome = Outcome::Unknown;
             status_only(StatusCode::BAD_GATEWAY)
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,14 +8,16 @@
 
 use model::{Class, InstanceId, ServiceName};
 use policy::{
-    Candidate, Choice, GateConfig, Leads, Pressures, ResendBudget, Router, RouterConfig, RunKey,
-    Runs, Standing, Windows,
+    Candidate, Choice, Fates, GateConfig, Leads, Pressures, ResendBudget, Router, RouterConfig,
+    RunKey, Runs, Standing, Windows,
 };
 use routes::{RouteTable, Split, Target, TargetState, Targets};
 use smol_str::SmolStr;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::admission::Admission;
+use crate::fate::Lives;
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::names::HeaderNames;
@@ -59,9 +61,17 @@
     pub(crate) leads: RefCell<Leads>,
     pub(crate) pressures: RefCell<Pressures>,
     pub(crate) windows: RefCell<Windows>,
+    /// Drawn at random at the start; tells this process from earlier ones at its address.
+    pub(crate) life: u64,
+    pub(crate) lives: Lives,
+    pub(crate) fates: RefCell<Fates>,
     pub(crate) phase: Cell<Phase>,
     /// Requests that began here or run beside it and have no whole answer yet.
     pub(crate) in_flight: Cell<usize>,
+    /// Connections that were accepted and are open.
+    pub(crate) connections: Cell<usize>,
+    /// True once each connection is to close after the answer that is under way on it.
+    pub(crate) disconnect: watch::Sender<bool>,
     pub(crate) view: RefCell<View>,
     /// Decodes the published states.
     pub(crate) parse: Parsers,
@@ -91,8 +101,13 @@
             leads: RefCell::new(Leads::default()),
             pressures: RefCell::new(Pressures::default()),
             windows: RefCell::new(Windows::default()),
+            life: rand::random(),
+            lives: Lives::default(),
+            fates: RefCell::new(Fates::default()),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
+            disconnect: watch::Sender::new(false),
             view: RefCell::new(View::default()),
             parse,
             fetching: RefCell::new(HashSet::new()),
@@ -153,6 +168,10 @@
         view.own = view.targets.at(self.cfg.target, &self.cfg.service).cloned();
         view.own_was_listed |= view.own.is_some();
         drop(view);
+        let view = self.view.borrow();
+        let daemons: HashSet<SocketAddr> = view.targets.iter().map(|t| self.daemon_of(t)).collect();
+        drop(view);
+        self.lives.retain(|daemon| daemons.contains(daemon));
         self.refresh_gate();
         let now = Instant::now().into_std();
         for (name, state) in self.services.borrow_mut().iter_mut() {
@@ -253,6 +272,22 @@
     }
 }
 
+/// Counts an accepted connection as open until it is dropped.
+pub(crate) struct Connected(Rc<Relay>);
+
+impl Connected {
+    pub(crate) fn new(relay: &Rc<Relay>) -> Self {
+        relay.connections.set(relay.connections.get() + 1);
+        Connected(Rc::clone(relay))
+    }
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// Counts a root request as under way to services until it is dropped.
 pub(crate) struct UnderWay {
     relay: Rc<Relay>,
--- a/crates/relay/src/sending.rs
+++ b/crates/relay/src/sending.rs
@@ -13,7 +13,7 @@
 
 use crate::beside::{self, Ended, Forward};
 use crate::inbound::Inbound;
-use crate::mesh;
+use crate::mesh::{self, IfLost};
 use crate::metrics::Outcome;
 use crate::payload::Payload;
 use crate::plain::{refused, status_only};
@@ -31,6 +31,10 @@
 const MAX_ROUNDS: usize = 4;
 /// Time that has to be left for another send.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(5);
+/// Mean runs of the target after which an answer is overdue: some wait for a slot besides.
+const OVERDUE_RUNS: u32 = 4;
+/// Least time after which one is: a busy daemon may fall behind that far.
+const LEAST_OVERDUE: Duration = Duration::from_millis(150);
 /// Rank of a call within its class, over that of a request that has not begun: what its run
 /// has cost so far is lost with it.
 const CALL_WORTH: u32 = 1_000;
@@ -216,7 +220,8 @@
             let report = self.relay.admission.report(Instant::now());
             (ended, Some(Word::from(report)))
         } else {
-            mesh::send(self.relay, target, &hop, forward).await
+            let lost = self.if_lost(service, key);
+            mesh::send(self.relay, target, &hop, lost, forward).await
         };
         if let Some(word) = &word {
             word::note(self.relay, service, &target.id, word);
@@ -230,6 +235,21 @@
         ended
     }
 
+    fn if_lost(&self, service: &ServiceName, key: InstanceKey) -> IfLost {
+        if self.request.route.repeat != Repeat::Idempotent {
+            return IfLost::AskFate {
+                deadline: self.request.deadline,
+            };
+        }
+        let run = self
+            .relay
+            .with_service(service, |state| state.router.run_time(key));
+        let overdue = run.map_or(LEAST_OVERDUE, |run| run * OVERDUE_RUNS);
+        IfLost::SendAgain {
+            overdue: overdue.max(LEAST_OVERDUE),
+        }
+    }
+
     fn judge(&mut self, service: &ServiceName, ended: Ended, spare: Option<Forward>) -> Next {
         let (again, refusal) = match ended {
             Ended::Answered { head, body } => {
@@ -325,6 +345,7 @@
             },
             shed_hash: self.request.shed_hash,
             attempt: attempt.max(u16::from(repeated)),
+            send: rand::random(),
             time_left: self.request.deadline.saturating_duration_since(now),
             target: InstanceId::clone(&target.id),
             route: self.request.route.name.clone(),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -49,8 +49,6 @@
     pub data_centre: DataCentre,
     /// Where it listens.
     pub listen: Listen,
-    /// Time between two reports of a target.
-    pub heartbeat: Duration,
     /// What the operators ask for.
     pub bounds: Bounds,
 }
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::error::Error;
 use crate::listen::{self, Side};
@@ -19,11 +19,11 @@
 /// Time from the signal to stop in which callers learn that they are to go elsewhere: two
 /// looks at the readiness, one a second, and one more for those under way.
 const FAREWELL: Duration = Duration::from_millis(2_500);
+/// Part of the grace that the farewell takes at most; the rest is for what is in flight.
+const FAREWELL_PART: f64 = 0.42;
 /// Part of the grace after which the process ends whatever is in flight, before it is killed.
 const GRACE_PART: f64 = 0.95;
-/// Time for the last answers to leave the process.
-const FLUSH: Duration = Duration::from_millis(50);
-/// Time between two looks whether anything is in flight, while leaving.
+/// Time between two looks whether anything is in flight or connected, while leaving.
 const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs one daemon until it is told to stop and has ended what is in flight.
@@ -60,12 +60,19 @@
     let told = Instant::now();
     relay.phase.set(Phase::Leaving);
     log::info!(in_flight = relay.in_flight.get(); "leaving");
-    sleep_until(told + FAREWELL).await;
+    sleep_until(told + FAREWELL.min(grace.mul_f64(FAREWELL_PART))).await;
     relay.phase.set(Phase::Closing);
-    let left = grace.mul_f64(GRACE_PART).saturating_sub(FAREWELL);
-    let emptied = timeout(left, empty(&relay)).await.is_ok();
-    sleep(FLUSH).await;
-    log::info!(emptied, in_flight = relay.in_flight.get(); "stopped");
+    let end = told + grace.mul_f64(GRACE_PART);
+    let emptied = timeout_at(end, empty(&relay)).await.is_ok();
+    relay.disconnect.send_replace(true);
+    let flushed = timeout_at(end, disconnected(&relay)).await.is_ok();
+    log::info!(
+        emptied,
+        flushed,
+        in_flight = relay.in_flight.get(),
+        connections = relay.connections.get();
+        "stopped"
+    );
     Ok(())
 }
 
@@ -76,6 +83,13 @@
     }
 }
 
+/// Returns when the last answer of each connection has left and it is closed.
+async fn disconnected(relay: &Relay) {
+    while relay.connections.get() > 0 {
+        sleep(LEAVING_CHECK_INTERVAL).await;
+    }
+}
+
 async fn clean(relay: Rc<Relay>) {
     loop {
         sleep(CLEANING_INTERVAL).await;
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -11,14 +11,15 @@
 
 /// Time for which a watch waits at the source.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Time that an answer of the source may take beyond what it was asked to wait: several times
-/// its usual answer, and well below the bound for a new configuration.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Age of the list of targets at which this daemon reads it itself: half of the bound for a
-/// target that leaves. It is drawn anew each time between the least and the most, so that
-/// mostly one daemon reads and the others hear of it.
-const LEAST_TARGETS_AGE: Duration = Duration::from_millis(600);
-const MOST_TARGETS_AGE: Duration = Duration::from_millis(1_200);
+/// Time that an answer of the source may take beyond what it was asked to wait, as a part of
+/// the bound for a new configuration: there has to be time for a second try.
+const ANSWER_PART: f64 = 0.5;
+/// Age of the list of targets at which this daemon reads it itself, as parts of the bound for a
+/// target that leaves: what remains is for the read and for the way to the other daemons. It is
+/// drawn anew each time between the least and the most, so that mostly one daemon reads and the
+/// others hear of it.
+const LEAST_TARGETS_AGE_PART: f64 = 0.3;
+const MOST_TARGETS_AGE_PART: f64 = 0.6;
 /// First and longest time between two tries after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
@@ -66,12 +67,13 @@
     let mut dependency = Dependency::new(State::Table);
     let mut backoff = Backoff::new();
     let mut after = None;
+    let limit = answer_timeout(&relay);
     loop {
         let result = match after {
-            None => read_table(&source).await,
+            None => read_table(&source, limit).await,
             Some(after) => {
                 let watch = (source.watch_table)(after, WATCH_WAIT);
-                in_time(WATCH_WAIT + ANSWER_TIMEOUT, watch).await
+                in_time(WATCH_WAIT + limit, watch).await
             }
         };
         match result {
@@ -92,8 +94,13 @@
     }
 }
 
-async fn read_table(source: &Source) -> Result<Watched, SourceError> {
-    let read = in_time(ANSWER_TIMEOUT, (source.read)(State::Table)).await?;
+/// Time that an answer of the source may take.
+fn answer_timeout(relay: &Relay) -> Duration {
+    relay.cfg.bounds.config_apply.mul_f64(ANSWER_PART)
+}
+
+async fn read_table(source: &Source, limit: Duration) -> Result<Watched, SourceError> {
+    let read = in_time(limit, (source.read)(State::Table)).await?;
     Ok(read.map_or(Watched::HistoryGone, Watched::Changed))
 }
 
@@ -114,10 +121,11 @@
 pub(crate) async fn follow_targets(relay: Rc<Relay>, source: Rc<Source>) {
     let mut dependency = Dependency::new(State::Targets);
     let mut backoff = Backoff::new();
+    let limit = answer_timeout(&relay);
     loop {
         wait_until_old(&relay).await;
         let began = Instant::now();
-        match in_time(ANSWER_TIMEOUT, (source.read)(State::Targets)).await {
+        match in_time(limit, (source.read)(State::Targets)).await {
             Ok(document) => {
                 dependency.answered();
                 backoff = Backoff::new();
@@ -136,7 +144,8 @@
 
 /// Returns when the list of targets has to be read again.
 async fn wait_until_old(relay: &Relay) {
-    let most = rand::random_range(LEAST_TARGETS_AGE..MOST_TARGETS_AGE);
+    let part = rand::random_range(LEAST_TARGETS_AGE_PART..MOST_TARGETS_AGE_PART);
+    let most = relay.cfg.bounds.drain.mul_f64(part);
     loop {
         let Some(read_at) = relay.view.borrow().targets_read_at() else {
             return;
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use routes::{Freshness, Heard, Roster, RouteTable, Target, Targets, ViewStamp};
+use routes::{Freshness, Heard, Roster, RouteTable, Target, Targets};
 use tokio::time::Instant;
+use wire::ViewStamp;
 
 use crate::source::Document;
 
--- a/crates/relay/src/word.rs
+++ b/crates/relay/src/word.rs
@@ -8,11 +8,10 @@
 use http::{HeaderMap, HeaderValue};
 use model::{InstanceId, ServiceName};
 use policy::{Load, Pressure};
-use routes::ViewStamp;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 use wire::hop::{LEADS, PRESSURES, VIEW};
-use wire::{HeardPressure, ViewText};
+use wire::{HeardPressure, ViewStamp};
 
 use crate::admission::Report;
 use crate::pull;
@@ -74,13 +73,7 @@
 /// Writes what is known of the published states into the headers of a request or an answer.
 pub(crate) fn tell_view(relay: &Relay, headers: &mut HeaderMap) {
     let stamp = relay.view.borrow().stamp(Instant::now());
-    let view = ViewText {
-        table: stamp.table,
-        targets: stamp.targets,
-        digest: stamp.digest,
-        age: stamp.age,
-    };
-    insert(headers, VIEW, &view.to_string());
+    insert(headers, VIEW, &stamp.to_string());
 }
 
 /// Takes what [`tell_view`] wrote out of the headers; what the other daemon knows better is
@@ -89,22 +82,11 @@
     let Some(value) = headers.remove(VIEW) else {
         return;
     };
-    let Some(view) = value.to_str().ok().and_then(|text| text.parse().ok()) else {
+    let text = value.to_str().ok();
+    let Some(stamp) = text.and_then(|text| text.parse::<ViewStamp>().ok()) else {
         log::debug!(from:%; "view between daemons ignored");
         return;
     };
-    let ViewText {
-        table,
-        targets,
-        digest,
-        age,
-    } = view;
-    let stamp = ViewStamp {
-        table,
-        targets,
-        digest,
-        age,
-    };
     let heard = relay.view.borrow_mut().hear(stamp, Instant::now());
     if heard.newer_table {
         pull::start(relay, from, State::Table);
--- a/crates/routes/src/freshness.rs
+++ b/crates/routes/src/freshness.rs
@@ -2,24 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use wire::ViewStamp;
+
 /// What is added to the age of a list with each daemon that passes on the word of it: more than
 /// a message takes on its way between daemons. Without it, two daemons would confirm an old list
 /// to each other for ever.
 const AGE_PER_HOP: Duration = Duration::from_millis(40);
 
-/// What one daemon knows of the published states, as it tells others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ViewStamp {
-    /// Version of its configuration; 0 without one.
-    pub table: u64,
-    /// Revision at which it knows the list of targets; 0 without one.
-    pub targets: u64,
-    /// Digest of that list.
-    pub digest: u64,
-    /// Time since the list was read, by whoever read it.
-    pub age: Duration,
-}
-
 /// What to do about another daemon's word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -45,7 +45,7 @@
 pub mod table;
 pub mod target;
 
-pub use crate::freshness::{Freshness, Heard, ViewStamp};
+pub use crate::freshness::{Freshness, Heard};
 pub use crate::roster::Roster;
 pub use crate::route::{Limits, Repeat, Route, Service, Share};
 pub use crate::split::Split;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -79,9 +79,18 @@
     /// # Errors
     ///
     /// If no port can be bound.
-    #[expect(clippy::unused_async, reason = "all stand-ins are started alike")]
     pub async fn start(upstream: SocketAddr, seed: u64) -> io::Result<Self> {
-        let reservation = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), upstream, seed).await
+    }
+
+    /// Starts on an address of the caller's choice, without faults.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    #[expect(clippy::unused_async, reason = "all stand-ins are started alike")]
+    pub async fn start_at(at: SocketAddr, upstream: SocketAddr, seed: u64) -> io::Result<Self> {
+        let reservation = bind(at)?;
         let address = reservation.local_addr()?;
         let listener = listen(address)?;
         let (settings, watched) = watch::channel(Settings {
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -18,7 +18,7 @@
 /// Carries [`HeardPressure`]s on an answer, separated by commas.
 pub const PRESSURES: HeaderName = HeaderName::from_static("berylhead-pressures");
 
-/// Carries a [`ViewText`] on requests and answers.
+/// Carries a [`ViewStamp`] on requests and answers.
 pub const VIEW: HeaderName = HeaderName::from_static("berylhead-view");
 
 /// Stands for a field without a value.
@@ -27,7 +27,7 @@
 /// How one forwarded request is to be handled beside its target.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[display(
-    "{class} {worth} {shed_hash:016x} {attempt} {} {target} {route}",
+    "{class} {worth} {shed_hash:016x} {attempt} {send:016x} {} {target} {route}",
     time_left.as_micros()
 )]
 pub struct Hop {
@@ -39,6 +39,8 @@
     pub shed_hash: u64,
     /// Number of earlier sends of this request.
     pub attempt: u16,
+    /// Drawn at random for each send, to ask for its fate when its answer is lost.
+    pub send: u64,
     /// Time until the answer is of no more use.
     pub time_left: Duration,
     /// The target that was chosen; another life of it must not run the request.
@@ -50,7 +52,7 @@
 /// How one forwarded request ended beside its target.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[display(
-    "{outcome} {} {} {} {} {pressure} {}",
+    "{outcome} {} {} {} {} {pressure} {life:016x} {}",
     if *reached_target { "target" } else { NONE },
     reason.map_or_else(|| NONE.to_owned(), |reason| reason.to_string()),
     retry_after.as_millis(),
@@ -70,6 +72,8 @@
     pub run_time: Duration,
     /// Work in the target over what it can run at once, in thousandths.
     pub pressure: u16,
+    /// Drawn at random by the daemon when it started: another life has no memory of this one.
+    pub life: u64,
     /// Load beside the target, as text.
     pub load: Option<SmolStr>,
 }
@@ -103,7 +107,7 @@
 /// What a daemon knows of the published states.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display("{table} {targets} {digest:016x} {}", age.as_millis())]
-pub struct ViewText {
+pub struct ViewStamp {
     /// Version of its configuration; 0 without one.
     pub table: u64,
     /// Revision at which it knows the list of targets; 0 without one.
@@ -114,17 +118,16 @@
     pub age: Duration,
 }
 
-impl FromStr for ViewText {
+impl FromStr for ViewStamp {
     type Err = MalformedHop;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut fields = text.splitn(4, ' ');
         let mut next = |field| fields.next().ok_or(MalformedHop { field });
-        Ok(ViewText {
+        Ok(ViewStamp {
             table: parsed(next("table")?, "table")?,
             targets: parsed(next("targets")?, "targets")?,
-            digest: u64::from_str_radix(next("digest")?, 16)
-                .map_err(|_| MalformedHop { field: "digest" })?,
+            digest: hexadecimal(next("digest")?, "digest")?,
             age: Duration::from_millis(parsed(next("age")?, "age")?),
         })
     }
@@ -141,14 +144,14 @@
     type Err = MalformedHop;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut fields = text.splitn(7, ' ');
+        let mut fields = text.splitn(8, ' ');
         let mut next = |field| fields.next().ok_or(MalformedHop { field });
         Ok(Hop {
             class: parsed(next("class")?, "class")?,
             worth: parsed(next("worth")?, "worth")?,
-            shed_hash: u64::from_str_radix(next("hash")?, 16)
-                .map_err(|_| MalformedHop { field: "hash" })?,
+            shed_hash: hexadecimal(next("hash")?, "hash")?,
             attempt: parsed(next("attempt")?, "attempt")?,
+            send: hexadecimal(next("send")?, "send")?,
             time_left: Duration::from_micros(parsed(next("time left")?, "time left")?),
             target: next("target")?.into(),
             route: next("route")?.into(),
@@ -160,7 +163,7 @@
     type Err = MalformedHop;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut fields = text.splitn(7, ' ');
+        let mut fields = text.splitn(8, ' ');
         let mut next = |field| fields.next().ok_or(MalformedHop { field });
         Ok(HopEnd {
             outcome: Outcome::parse(next("outcome")?).ok_or(MalformedHop { field: "outcome" })?,
@@ -169,6 +172,7 @@
             retry_after: Duration::from_millis(parsed(next("retry after")?, "retry after")?),
             run_time: Duration::from_micros(parsed(next("run time")?, "run time")?),
             pressure: parsed(next("pressure")?, "pressure")?,
+            life: hexadecimal(next("life")?, "life")?,
             load: Some(next("load")?)
                 .filter(|text| *text != NONE)
                 .map(Into::into),
@@ -176,6 +180,10 @@
     }
 }
 
+fn hexadecimal(text: &str, field: &'static str) -> Result<u64, MalformedHop> {
+    u64::from_str_radix(text, 16).map_err(|_| MalformedHop { field })
+}
+
 fn parsed<T: FromStr>(text: &str, field: &'static str) -> Result<T, MalformedHop> {
     text.parse().map_err(|_| MalformedHop { field })
 }
--- a/crates/wire/tests/hop.rs
+++ b/crates/wire/tests/hop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::{Class, Outcome, RefusalReason};
-use wire::{HeardPressure, Hop, HopEnd, ViewText};
+use wire::{HeardPressure, Hop, HopEnd, ViewStamp};
 
 fn hop() -> Hop {
     Hop {
@@ -11,6 +11,7 @@
         worth: 40,
         shed_hash: 0xfeed,
         attempt: 1,
+        send: 0xabcd,
         time_left: Duration::from_micros(1_234_567),
         target: "i-7f".into(),
         route: "bookings of clubs".into(),
@@ -20,7 +21,7 @@
 #[test]
 fn a_hop_reads_back() {
     let text = hop().to_string();
-    insta::assert_snapshot!(text, @"critical 40 000000000000feed 1 1234567 i-7f bookings of clubs");
+    insta::assert_snapshot!(text, @"critical 40 000000000000feed 1 000000000000abcd 1234567 i-7f bookings of clubs");
     assert_eq!(text.parse(), Ok(hop()));
 }
 
@@ -33,9 +34,10 @@
         retry_after: Duration::from_millis(250),
         run_time: Duration::from_micros(15_200),
         pressure: 300,
+        life: 0x11fe,
         load: Some("1,2,3,4,bulk".into()),
     };
-    insta::assert_snapshot!(refused.to_string(), @"not-run target overloaded 250 15200 300 1,2,3,4,bulk");
+    insta::assert_snapshot!(refused.to_string(), @"not-run target overloaded 250 15200 300 00000000000011fe 1,2,3,4,bulk");
     assert_eq!(refused.to_string().parse(), Ok(refused));
     let answered = HopEnd {
         outcome: Outcome::Answered,
@@ -44,9 +46,10 @@
         retry_after: Duration::ZERO,
         run_time: Duration::ZERO,
         pressure: 0,
+        life: 0,
         load: None,
     };
-    insta::assert_snapshot!(answered.to_string(), @"answered - - 0 0 0 -");
+    insta::assert_snapshot!(answered.to_string(), @"answered - - 0 0 0 0000000000000000 -");
     assert_eq!(answered.to_string().parse(), Ok(answered));
 }
 
@@ -54,11 +57,12 @@
 fn what_is_malformed_names_its_field() {
     let cases = [
         ("", "class"),
-        ("urgent 1 0 0 0 i r", "class"),
-        ("bulk -1 0 0 0 i r", "worth"),
-        ("bulk 1 zz 0 0 i r", "hash"),
-        ("bulk 1 0 0 x i r", "time left"),
-        ("bulk 1 0 0 0 i", "route"),
+        ("urgent 1 0 0 0 0 i r", "class"),
+        ("bulk -1 0 0 0 0 i r", "worth"),
+        ("bulk 1 zz 0 0 0 i r", "hash"),
+        ("bulk 1 0 0 zz 0 i r", "send"),
+        ("bulk 1 0 0 0 x i r", "time left"),
+        ("bulk 1 0 0 0 0 i", "route"),
     ];
     for (text, field) in cases {
         let error = text.parse::<Hop>().expect_err(text).to_string();
@@ -80,7 +84,7 @@
 
 #[test]
 fn a_view_reads_back() {
-    let view = ViewText {
+    let view = ViewStamp {
         table: 12,
         targets: 4_711,
         digest: 0xbeef,
@@ -88,5 +92,5 @@
     };
     insta::assert_snapshot!(view, @"12 4711 000000000000beef 700");
     assert_eq!(view.to_string().parse(), Ok(view));
-    assert!("12 4711 zz 700".parse::<ViewText>().is_err());
+    assert!("12 4711 zz 700".parse::<ViewStamp>().is_err());
 }
