Tell routes that targets call by where their requests come from

Calls were told from callers' requests only by shortened deadlines; calls of look-ups have a longest time of their own, never shortened. So look-ups were not known to lead to the till, were not shed, filled all targets and failed after most of their work (15,736 tries ended with 500), and their calls went before the till's own requests.

Ruled out: the windows themselves (those of the other routes were at their least, 2, all the while); targets that were cut off (no send failed at a till that was there).

Change: the daemon beside a target counts from which services' machines the requests of a route come (policy::Origins). Callers are spread over the machines of a data centre, calls come only from the machines of the services that make them. It says so with its answers; the daemons there take such requests for calls while a run is in flight that may have made them, and learn where their own routes lead. Requests that came back outweigh the word.

--- a/crates/policy/src/leads.rs
+++ b/crates/policy/src/leads.rs
@@ -46,6 +46,8 @@
     longest_wait: Duration,
     /// Services that its requests lead to, as told with their answers.
     told: Vec<ServiceName>,
+    /// True if the daemons beside its targets say that targets call it.
+    told_called: bool,
 }
 
 impl Leads {
@@ -62,13 +64,14 @@
         }
     }
 
-    /// Takes note of a request that begins here, of the time that it has left, and of the
-    /// route whose run surely made it, if any.
+    /// Takes note of a request that begins here, of the time that it has left, of the route
+    /// whose run surely made it, if any, and of all whose runs may have made it.
     pub fn began(
         &mut self,
         route: &SmolStr,
         left: Option<Duration>,
         parent: Option<&SmolStr>,
+        candidates: &[SmolStr],
     ) -> Began {
         let leads = self.entry(route);
         let is_shortened = left.is_some_and(|left| leads.is_shortened(left));
@@ -80,11 +83,12 @@
                 leads.shortened_of_runs /= 2;
             }
         }
-        let is_call = leads.is_called();
-        if let Some(parent) = parent
-            && is_call
-            && is_shortened
-        {
+        let is_call = leads.is_called(!candidates.is_empty());
+        let parents = match parent {
+            Some(parent) if is_shortened => std::slice::from_ref(parent),
+            _ => candidates,
+        };
+        for parent in parents.iter().filter(|_| is_call) {
             let calls = &mut self.entry(parent).calls;
             match calls.get_mut(route) {
                 Some(count) => *count += 1,
@@ -104,9 +108,16 @@
         self.routes.retain(|route, _| is_there(route));
     }
 
-    /// Takes over where requests of a route lead, as told with an answer.
-    pub fn told(&mut self, route: &SmolStr, services: impl Iterator<Item = ServiceName>) {
+    /// Takes over where requests of a route lead, and whether targets call it, as told with
+    /// an answer.
+    pub fn told(
+        &mut self,
+        route: &SmolStr,
+        services: impl Iterator<Item = ServiceName>,
+        is_called: bool,
+    ) {
         let leads = self.entry(route);
+        leads.told_called = is_called;
         leads.told.clear();
         leads.told.extend(services);
     }
@@ -155,9 +166,13 @@
         left + TOLERANCE < self.longest_wait
     }
 
-    /// True if requests of the route that begin here are calls of the own target. A caller's
-    /// request that came back lies close to a run's deadline only by chance.
-    fn is_called(&self) -> bool {
-        self.shortened >= LEAST_REQUESTS && 5 * self.shortened_of_runs > 3 * self.shortened
+    /// True if a request of the route that begins here is a call of the own target. A caller's
+    /// request that came back lies close to a run's deadline only by chance; without such
+    /// requests, the word of the daemons beside its targets counts.
+    fn is_called(&self, has_candidates: bool) -> bool {
+        if self.shortened >= LEAST_REQUESTS {
+            return 5 * self.shortened_of_runs > 3 * self.shortened;
+        }
+        self.told_called && has_candidates
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 * [`edge`]: retries that one edge may add to its first tries
 * [`acceptance`]: how much of the work for a callee is worth beginning
 * [`router`]: choice of the instance that takes a call
+* [`origins`]: which routes targets call, told by where requests come from
 * [`pressure`]: how much work targets have, over what they can run at once
 * [`resend`]: further sends out of a budget that all daemons share
 * [`runs`]: which run a target's own call belongs to
@@ -61,6 +62,7 @@
 pub mod gate;
 pub mod leads;
 pub mod load;
+pub mod origins;
 pub mod pressure;
 pub mod resend;
 pub mod router;
@@ -92,6 +94,7 @@
 pub use crate::gate::Gate;
 pub use crate::leads::{Began, Leads};
 pub use crate::load::{Load, MalformedLoad};
+pub use crate::origins::{Census, Origins, Place};
 pub use crate::pressure::{Pressure, PressureMeter, Pressures};
 pub use crate::resend::ResendBudget;
 pub use crate::router::Router;
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -85,6 +85,21 @@
             .copied()
     }
 
+    /// The operations of which a run may have made a call with this deadline: all runs that
+    /// have as long.
+    #[must_use]
+    pub fn candidates(&self, deadline: Instant) -> Vec<OperationKey> {
+        let least = deadline.checked_sub(SURE_BEFORE).unwrap_or(deadline);
+        let mut operations = Vec::new();
+        for (_, key) in self.by_deadline.range((least, RunKey::default())..) {
+            let operation = self.runs[*key].operation;
+            if !operations.contains(&operation) {
+                operations.push(operation);
+            }
+        }
+        operations
+    }
+
     /// The run whose deadline lies closest, from `before` its own to `after` it.
     fn nearest(&self, deadline: Instant, before: Duration, after: Duration) -> Option<Run> {
         let least = deadline.checked_sub(before).unwrap_or(deadline);
--- a/crates/policy/tests/leads.rs
+++ b/crates/policy/tests/leads.rs
@@ -20,7 +20,7 @@
         let left = if shortened { FULL / 2 } else { FULL };
         let parent = (shortened && n / 2 % one_in == 0).then(|| name(parent));
         is_call = leads
-            .began(&name(route), Some(left), parent.as_ref())
+            .began(&name(route), Some(left), parent.as_ref(), &[])
             .is_call;
     }
     is_call
@@ -40,13 +40,13 @@
 fn a_caller_that_has_waited_before_is_told_from_one_that_has_not() {
     let mut leads = Leads::default();
     let route = name("listing");
-    assert!(!leads.began(&route, Some(FULL), None).is_shortened);
+    assert!(!leads.began(&route, Some(FULL), None, &[]).is_shortened);
     assert!(
         !leads
-            .began(&route, Some(Duration::from_millis(699)), None)
+            .began(&route, Some(Duration::from_millis(699)), None, &[])
             .is_shortened
     );
-    assert!(leads.began(&route, Some(FULL / 2), None).is_shortened);
+    assert!(leads.began(&route, Some(FULL / 2), None, &[]).is_shortened);
 }
 
 #[test]
@@ -60,8 +60,9 @@
     leads.told(
         &name("peek"),
         ["facturas".into(), "banco".into()].into_iter(),
+        false,
     );
-    leads.told(&name("stray"), ["galeria".into()].into_iter());
+    leads.told(&name("stray"), ["galeria".into()].into_iter(), false);
     let led: Vec<String> = leads
         .of_runs(&name("index"))
         .iter()
@@ -74,7 +75,34 @@
 #[test]
 fn routes_that_are_gone_are_forgotten() {
     let mut leads = Leads::default();
-    leads.told(&name("old"), ["caja".into()].into_iter());
+    leads.told(&name("old"), ["caja".into()].into_iter(), false);
     leads.retain(|route| route != "old");
     assert!(leads.beyond(&name("old")).is_empty());
 }
+
+#[test]
+fn what_is_told_to_be_called_is_a_call_while_something_runs() {
+    let mut leads = Leads::default();
+    let (peek, index) = (name("peek"), name("index"));
+    leads.told(&peek, ["facturas".into()].into_iter(), true);
+    let runs = [index.clone()];
+    assert!(!leads.began(&peek, Some(FULL), None, &[]).is_call);
+    for _ in 0..50 {
+        leads.ran(&index);
+        assert!(leads.began(&peek, Some(FULL), None, &runs).is_call);
+    }
+    assert_eq!(leads.of_runs(&index), ["facturas".into()]);
+}
+
+#[test]
+fn callers_that_came_back_outweigh_what_was_told() {
+    let mut leads = Leads::default();
+    let route = name("invoice");
+    leads.told(&route, ["facturas".into()].into_iter(), true);
+    let runs = [name("index")];
+    for _ in 0..8 {
+        leads.began(&route, Some(FULL), None, &runs);
+        leads.began(&route, Some(FULL / 2), None, &runs);
+    }
+    assert!(!leads.began(&route, Some(FULL), None, &runs).is_call);
+}
--- a/crates/relay/src/inbound.rs
+++ b/crates/relay/src/inbound.rs
@@ -7,6 +7,7 @@
 use model::Class;
 use policy::Run;
 use routes::{Route, RouteTable};
+use smol_str::SmolStr;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -56,8 +57,13 @@
         let runs = relay.runs.borrow();
         let sure = at.and_then(|at| runs.sure_parent(at));
         let parent_route = sure.and_then(|run| relay.admission.route(run.operation));
+        let candidates = at.map_or_else(Vec::new, |at| runs.candidates(at));
+        let candidates: Vec<SmolStr> = candidates
+            .into_iter()
+            .filter_map(|operation| relay.admission.route(operation))
+            .collect();
         let mut leads = relay.leads.borrow_mut();
-        let began = leads.began(&route.name, told, parent_route.as_ref());
+        let began = leads.began(&route.name, told, parent_route.as_ref(), &candidates);
         let likely = || runs.likely_parent(at?, !began.is_shortened);
         let sure = sure.filter(|_| began.is_shortened);
         let parent = if began.is_call {
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -156,6 +156,7 @@
     strip_connection(&mut head.headers);
     let route = hop.route.clone();
     let id = head.headers.get(&relay.names.request_id).cloned();
+    word::came(relay, &route, from.ip());
     let ended = match Payload::read(body).await {
         Ok(body) => beside::run(relay, hop, Forward { head, body }).await,
         Err(error) => {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,14 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use model::{Class, InstanceId, ServiceName};
 use policy::{
-    Candidate, Choice, Fates, GateConfig, Leads, Pressures, ResendBudget, Router, RouterConfig,
-    RunKey, Runs, Standing, Windows,
+    Candidate, Census, Choice, Fates, GateConfig, Leads, Origins, Place, Pressures, ResendBudget,
+    Router, RouterConfig, RunKey, Runs, Standing, Windows,
 };
 use routes::{RouteTable, Split, Target, TargetState, Targets};
 use smol_str::SmolStr;
@@ -59,6 +59,8 @@
     pub(crate) admission: Rc<Admission>,
     pub(crate) runs: RefCell<Runs>,
     pub(crate) leads: RefCell<Leads>,
+    pub(crate) origins: RefCell<Origins>,
+    pub(crate) neighbours: RefCell<Neighbours>,
     pub(crate) pressures: RefCell<Pressures>,
     pub(crate) windows: RefCell<Windows>,
     /// Drawn at random at the start; tells this process from earlier ones at its address.
@@ -81,6 +83,20 @@
     splits: RefCell<HashMap<SmolStr, Split>>,
 }
 
+/// The daemons that are known.
+#[derive(Default)]
+pub(crate) struct Neighbours {
+    pub(crate) places: HashMap<IpAddr, Place>,
+    pub(crate) census: Census,
+}
+
+fn place(target: &Target) -> Place {
+    Place {
+        data_centre: target.data_centre.clone(),
+        service: target.service.clone(),
+    }
+}
+
 /// What this daemon keeps of one service that it calls.
 pub(crate) struct ServiceState {
     pub(crate) router: Router,
@@ -99,6 +115,8 @@
             admission: Admission::new(gate, now),
             runs: RefCell::new(Runs::default()),
             leads: RefCell::new(Leads::default()),
+            origins: RefCell::new(Origins::default()),
+            neighbours: RefCell::new(Neighbours::default()),
             pressures: RefCell::new(Pressures::default()),
             windows: RefCell::new(Windows::default()),
             life: rand::random(),
@@ -130,6 +148,7 @@
             let kept = |name: &SmolStr| table.routes().iter().any(|route| route.name == *name);
             self.splits.borrow_mut().retain(|name, _| kept(name));
             self.leads.borrow_mut().retain(kept);
+            self.origins.borrow_mut().retain(kept);
             self.refresh_gate();
         }
         offered
@@ -170,7 +189,14 @@
         drop(view);
         let view = self.view.borrow();
         let daemons: HashSet<SocketAddr> = view.targets.iter().map(|t| self.daemon_of(t)).collect();
+        let places = view
+            .targets
+            .iter()
+            .map(|target| (target.address.ip(), place(target)));
+        let places: HashMap<IpAddr, Place> = places.collect();
         drop(view);
+        let census = places.values().cloned().collect();
+        self.neighbours.replace(Neighbours { places, census });
         self.lives.retain(|daemon| daemons.contains(daemon));
         self.refresh_gate();
         let now = Instant::now().into_std();
--- a/crates/relay/src/word.rs
+++ b/crates/relay/src/word.rs
@@ -1,7 +1,7 @@
 //! What daemons tell each other with each answer, beside the answer itself.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use policy::{Load, Pressure};
 use smol_str::SmolStr;
 use tokio::time::Instant;
-use wire::hop::{LEADS, PRESSURES, VIEW};
+use wire::hop::{CALLED, LEADS, PRESSURES, VIEW};
 use wire::{HeardPressure, ViewStamp};
 
 use crate::admission::Report;
@@ -44,6 +44,15 @@
     services
 }
 
+/// Takes note of a request that came from the daemon at an address, or from the own one.
+pub(crate) fn came(relay: &Relay, route: &SmolStr, from: IpAddr) {
+    let neighbours = relay.neighbours.borrow();
+    if let Some(place) = neighbours.places.get(&from) {
+        let mut origins = relay.origins.borrow_mut();
+        origins.came(route, place, &neighbours.census);
+    }
+}
+
 /// Writes where a route leads and what pressures were heard into the headers of an answer.
 pub(crate) fn tell(relay: &Relay, route: &SmolStr, headers: &mut HeaderMap) {
     let mut text = String::new();
@@ -53,6 +62,9 @@
         let _ = write!(text, "{space}{service}");
     }
     insert(headers, LEADS, &text);
+    if relay.origins.borrow().is_called(route) {
+        headers.insert(CALLED, HeaderValue::from_static("1"));
+    }
     text.clear();
     let now = Instant::now().into_std();
     let pressures = relay.pressures.borrow();
@@ -98,11 +110,13 @@
 
 /// Takes what [`tell`] wrote out of the headers of an answer.
 pub(crate) fn hear(relay: &Relay, route: &SmolStr, headers: &mut HeaderMap) {
+    let is_called = headers.remove(CALLED).is_some();
     if let Some(value) = headers.remove(LEADS)
         && let Ok(text) = value.to_str()
     {
         let services = text.split(' ').map(ServiceName::from);
-        relay.leads.borrow_mut().told(route, services);
+        let mut leads = relay.leads.borrow_mut();
+        leads.told(route, services, is_called);
     }
     let Some(value) = headers.remove(PRESSURES) else {
         return;
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -15,6 +15,8 @@
 
 /// Tells on an answer which services requests of the route lead to.
 pub const LEADS: HeaderName = HeaderName::from_static("berylhead-leads");
+/// Present on an answer if targets call the route, rather than callers from outside.
+pub const CALLED: HeaderName = HeaderName::from_static("berylhead-called");
 /// Carries [`HeardPressure`]s on an answer, separated by commas.
 pub const PRESSURES: HeaderName = HeaderName::from_static("berylhead-pressures");
 
