Leave out entries of targets that ended at an address in use

Requests went to lives that had ended, were refused by the daemon there, and after four of them by the origin (129 refusals of this kind in the first two seconds, though only ten a second are logged by each daemon).

Ruled out: sends to machines that were down (daemons answered at once); pressure (none before second 42).

Change: of several entries at one address only the one that was written last names a target, by the revision at which the store took it; a target's own clock may have been set back. Before, only the own target was told that way, by that clock.

--- a/crates/routes/src/roster.rs
+++ b/crates/routes/src/roster.rs
@@ -97,6 +97,7 @@
 fn differs(known: &Target, listed: &Target) -> bool {
     let steady = Target {
         report: known.report,
+        published: known.published,
         cold: known.cold,
         ..listed.clone()
     };
--- a/crates/routes/src/target.rs
+++ b/crates/routes/src/target.rs
@@ -37,6 +37,8 @@
     pub born_ms: u64,
     /// Counter of its reports, starting anew with each start.
     pub report: u64,
+    /// Place of its last report in the order of all that was published.
+    pub published: u64,
 }
 
 impl Target {
@@ -97,23 +99,30 @@
         each.fold(1, u64::wrapping_add)
     }
 
-    /// The target that listens at an address for a service: the one that was started last,
-    /// where entries of earlier ones are still listed.
+    /// The target that listens at an address for a service.
     #[must_use]
     pub fn at(&self, address: SocketAddr, service: &ServiceName) -> Option<&Target> {
-        let here = |target: &&Target| target.address == address && target.service == *service;
-        let mut found = self.by_id.values().filter(here).collect::<Vec<_>>();
-        found.sort_by_key(|target| (target.born_ms, target.state == TargetState::Ready));
-        found.pop()
+        let mut targets = self.by_id.values();
+        targets.find(|target| target.address == address && target.service == *service)
     }
 }
 
 impl FromIterator<Target> for Targets {
+    /// Of several at one address only the one that reported last is there: the others ended
+    /// before, and their entries have not lapsed yet.
     fn from_iter<I: IntoIterator<Item = Target>>(targets: I) -> Self {
-        let by_id = targets
-            .into_iter()
-            .map(|target| (target.id.clone(), target))
-            .collect();
-        Targets { by_id }
+        let mut at: HashMap<SocketAddr, Target> = HashMap::new();
+        for target in targets {
+            match at.get(&target.address) {
+                Some(other) if other.published > target.published => {}
+                _ => {
+                    at.insert(target.address, target);
+                }
+            }
+        }
+        let by_id = at.into_values().map(|target| (target.id.clone(), target));
+        Targets {
+            by_id: by_id.collect(),
+        }
     }
 }
--- a/crates/routes/tests/roster.rs
+++ b/crates/routes/tests/roster.rs
@@ -6,17 +6,20 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// A target at an address of its own.
 fn target(id: &str) -> Target {
+    let port = 8_300 + u16::from(id.as_bytes()[0]);
     Target {
         id: id.into(),
         service: "caja".into(),
-        address: "10.1.0.8:8301".parse().expect("an address"),
+        address: ([10, 1, 0, 8], port).into(),
         data_centre: "norte-a".into(),
         slots: 25,
         state: TargetState::Ready,
         cold: Duration::ZERO,
         born_ms: 1_000,
         report: 1,
+        published: 1,
     }
 }
 
@@ -88,3 +91,31 @@
     assert!(roster.update(&list(&["a"]), start + 10 * SECOND));
     assert_eq!(present(&roster), ["a"]);
 }
+
+#[test]
+fn of_several_at_one_address_the_one_that_reported_last_is_there() {
+    let mut targets = vec![target("a"), target("b"), target("c")];
+    let restarted = Target {
+        id: "a-again".into(),
+        published: 7,
+        // Its clock was set back.
+        born_ms: 0,
+        ..target("a")
+    };
+    let of_another_service = Target {
+        id: "stranger".into(),
+        service: "banco".into(),
+        published: 9,
+        ..target("b")
+    };
+    targets.push(of_another_service);
+    targets.insert(0, restarted);
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.update(&list(&["a", "b", "c"]), now);
+    roster.lost();
+    roster.update(&targets.into_iter().collect(), now + SECOND);
+    let mut ids: Vec<String> = roster.snapshot().iter().map(|t| t.id.to_string()).collect();
+    ids.sort();
+    assert_eq!(ids, ["a-again", "c", "stranger"]);
+}
