Explain failed requests of daemons on the platform

One check is replaced: "abc" was refused as an id, and is one now; an id with a space is refused instead.

--- a/crates/ctl/src/cli/daemons.rs
+++ b/crates/ctl/src/cli/daemons.rs
@@ -4,7 +4,6 @@
 use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
-use model::RequestId;
 use smol_str::SmolStr;
 
 use super::file;
@@ -32,7 +31,8 @@
 /// Options of `berylctl explain`.
 #[derive(Clone, Debug)]
 pub(crate) struct ExplainOptions {
-    pub(crate) request_id: RequestId,
+    /// As a caller or a log told it.
+    pub(crate) request_id: SmolStr,
     pub(crate) logs: Vec<PathBuf>,
 }
 
@@ -100,14 +100,29 @@
     .footer("Example: berylctl call --key outing-17 10.1.0.4:7001 reservas/book")
 }
 
+/// Checks an id that may come from any caller.
+fn request_id(text: &str) -> Result<SmolStr, &'static str> {
+    /// Longest id that is of use: several of 32 digits in a row.
+    const MAX_CHARS: usize = 256;
+
+    let is_valid = !text.is_empty()
+        && text.len() <= MAX_CHARS
+        && text.chars().all(|char| char.is_ascii_graphic());
+    if is_valid {
+        Ok(text.into())
+    } else {
+        Err("not a request id; allowed: 1 to 256 printable ASCII characters without spaces")
+    }
+}
+
 pub(super) fn explain() -> OptionParser<ExplainOptions> {
     let logs = long("log")
         .help("Log of a daemon, as JSON lines; - for standard input")
         .argument::<PathBuf>("FILE")
         .some("name at least one log with --log");
     let request_id = positional::<String>("REQUEST-ID")
-        .help("32 hexadecimal digits, from an answer or a log")
-        .parse(|text| text.parse::<RequestId>());
+        .help("As an answer, a caller or a log tells it")
+        .parse(|text| request_id(&text));
     construct!(ExplainOptions { logs, request_id })
         .to_options()
         .descr("Tells why a call was shed, retried or routed as it was.")
