Log when a target begins to fail and when it answers again

Change: one line when what is believed of a target's failures passes a half, and one when it is back under a tenth. Nothing is decided by it.

--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -129,6 +129,13 @@
         }
     }
 
+    /// How much is believed of the latest failures of an instance, in thousandths.
+    #[must_use]
+    pub fn trouble(&self, key: InstanceKey, now: Instant) -> u64 {
+        let instance = self.instances.get(key);
+        instance.map_or(0, |instance| instance.trouble.thousandths(now))
+    }
+
     /// Mean time of a run in an instance, as it reported.
     #[must_use]
     pub fn run_time(&self, key: InstanceKey) -> Option<Duration> {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,8 +8,8 @@
 
 use model::{Class, InstanceId, ServiceName};
 use policy::{
-    Candidate, Census, Choice, Fates, GateConfig, Leads, Origins, Place, Pressures, ResendBudget,
-    Router, RouterConfig, RunKey, Runs, Standing, Windows,
+    Candidate, Census, Choice, Fates, GateConfig, InstanceKey, Leads, Origins, Place, Pressures,
+    ResendBudget, Router, RouterConfig, RunKey, Runs, Standing, Windows,
 };
 use routes::{RouteTable, Split, Target, TargetState, Targets};
 use smol_str::SmolStr;
@@ -35,6 +35,12 @@
 /// Time for which a daemon that said it leaves is not asked again. Its target may live on, and
 /// then the daemon is back within seconds; asking costs no more than one refusal.
 const LEAVING_LIFE: Duration = Duration::from_secs(1);
+/// Belief in failures from which a target is logged as failing: two of the last three calls or
+/// more failed.
+const FAILING_THOUSANDTHS: u64 = 500;
+/// Belief below which it is logged as answering again: well apart, so that the lines do not
+/// alternate.
+const ANSWERING_THOUSANDTHS: u64 = 100;
 /// Part of a target's slots that is left free, as a divisor: targets slow down when they are
 /// nearly full, some by a third, which costs more than these slots bring.
 const SPARE_DIVISOR: u32 = 14;
@@ -101,6 +107,21 @@
 pub(crate) struct ServiceState {
     pub(crate) router: Router,
     pub(crate) resends: ResendBudget,
+    /// Targets that are logged as failing.
+    failing: HashSet<InstanceKey>,
+}
+
+impl ServiceState {
+    /// Logs when a target begins to fail and when it answers again.
+    pub(crate) fn log_trouble(&mut self, service: &ServiceName, key: InstanceKey, now: Instant) {
+        let trouble = self.router.trouble(key, now.into_std());
+        let id = self.router.instance(key).map_or("", InstanceId::as_str);
+        if trouble >= FAILING_THOUSANDTHS && self.failing.insert(key) {
+            log::warn!(service = service.as_str(), target_id = id, trouble_thousandths = trouble; "target failing");
+        } else if trouble < ANSWERING_THOUSANDTHS && self.failing.remove(&key) {
+            log::info!(service = service.as_str(), target_id = id; "target answers again");
+        }
+    }
 }
 
 impl Relay {
@@ -202,6 +223,8 @@
         let now = Instant::now().into_std();
         for (name, state) in self.services.borrow_mut().iter_mut() {
             state.router.update(&self.candidates(name), now);
+            let router = &state.router;
+            state.failing.retain(|key| router.instance(*key).is_some());
         }
     }
 
@@ -226,7 +249,11 @@
         router.update(&candidates, now);
         let bounds = &self.cfg.bounds;
         let resends = ResendBudget::new(bounds.retry_ratio, bounds.retry_window, now);
-        let mut state = ServiceState { router, resends };
+        let mut state = ServiceState {
+            router,
+            resends,
+            failing: HashSet::new(),
+        };
         let result = f(&mut state);
         self.services.borrow_mut().insert(name.clone(), state);
         result
--- a/crates/relay/src/sending.rs
+++ b/crates/relay/src/sending.rs
@@ -378,6 +378,7 @@
             state
                 .router
                 .finish(self.key, end, latency, load, now.into_std());
+            state.log_trouble(self.service, self.key, now);
         });
     }
 }
