--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -21,7 +21,8 @@
 /// A published state at one revision of the source.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Document {
-    /// Revision; a higher one replaces a lower one.
+    /// Revision of the source at which it was read: a higher one replaces a lower one, and a
+    /// wait for changes goes on from it.
     pub revision: u64,
     /// The state as it was published.
     pub bytes: Bytes,
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -79,9 +79,10 @@
         match result {
             Ok(watched) => {
                 dependency.answered();
-                backoff = Backoff::new();
                 after = take_table(&relay, watched);
-                if after.is_none() {
+                if after.is_some() {
+                    backoff = Backoff::new();
+                } else {
                     backoff.wait().await;
                 }
             }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -55,6 +55,8 @@
     removed: BTreeMap<String, u64>,
     mode: StoreMode,
     page: usize,
+    /// Revisions that a watch may lie behind; all, if not set.
+    history: Option<u64>,
     calls: u64,
 }
 
@@ -117,6 +119,11 @@
         self.state.lock().page = items;
     }
 
+    /// Changes how many revisions back a watch may begin.
+    pub fn set_history(&self, revisions: u64) {
+        self.state.lock().history = Some(revisions);
+    }
+
     /// Calls so far, refused ones too.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -125,6 +132,13 @@
 }
 
 impl State {
+    /// True if the changes after a revision are no longer known.
+    fn has_forgotten(&self, after: u64) -> bool {
+        let inner = self.lock();
+        let history = inner.history;
+        history.is_some_and(|history| after + history < inner.revision)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -152,6 +166,9 @@
         "/-/kv-key" => key(state, text("key")),
         "/-/kv-range" => range(state, text("prefix"), text("after")),
         "/-/kv-watch" if mode == StoreMode::WithoutHistory => status(StatusCode::GONE),
+        "/-/kv-watch" if state.has_forgotten(text("after").parse().unwrap_or(0)) => {
+            status(StatusCode::GONE)
+        }
         "/-/kv-watch" => {
             let after = text("after").parse().unwrap_or(0);
             let wait = text("waitMs")
