Print the threads of a daemon when a proof fails

Cause: the entry in KNOWN-RED.txt could not be told apart into a paused process, a deadlock, and a port that belongs to someone else. Read again for it: locks of the daemon (tickets are always taken after a slot, views are never borrowed twice at once), the signs of leaving, and the order of faults: no cause found.

Change: a proof that fails prints the last answer of the daemon that it waited for, and of each daemon the states of its threads and where they wait in the kernel (T: stopped, futex: a lock).

--- a/crates/proof/src/rig.rs
+++ b/crates/proof/src/rig.rs
@@ -277,14 +277,30 @@
         }
         for node in &self.nodes {
             let log = node.daemon.log();
-            let running = Path::new(&format!("/proc/{}/stat", node.daemon.pid())).exists();
-            eprintln!("pid {} exists: {running}", node.daemon.pid());
+            eprintln!("{} threads: {}", node.spec.id, threads(node.daemon.pid()));
             let shown = log.len().saturating_sub(SHOWN_LOG_LINES);
             eprintln!("--- {} ---\n{}", node.spec.id, log[shown..].join("\n"));
         }
     }
 }
 
+/// State and place in the kernel of each thread of a process, such as `S futex_do_wait`; a
+/// process that is stopped is in state `T`.
+fn threads(pid: u32) -> String {
+    let Ok(tasks) = std::fs::read_dir(format!("/proc/{pid}/task")) else {
+        return "ended".to_owned();
+    };
+    let thread = |task: std::fs::DirEntry| {
+        let read = |name| std::fs::read_to_string(task.path().join(name)).unwrap_or_default();
+        let stat = read("stat");
+        let state = stat.rsplit(')').next().unwrap_or_default();
+        let state = state.split_whitespace().next().unwrap_or("?").to_owned();
+        format!("{state} {}", read("wchan"))
+    };
+    let threads: Vec<String> = tasks.flatten().map(thread).collect();
+    threads.join(", ")
+}
+
 /// What was seen last of a daemon that is waited for; printed if the wait ends in a panic.
 struct LastSeen<'a> {
     id: &'a str,
