Ask a daemon only when nothing was heard of it for a while

Under overload every answer is overdue, and each such request asked its daemon again and again whether it is there: most messages when there is least room for them.

Tried first: no question within 300 ms of the last answer, the next check after twice the time.

Change: an overdue request asks 100 ms after the daemon's last answer of any kind. Guards, the state of a called service and the neighbours have files of their own; an uncalled function is gone; the settings are checked in one place for both modes.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon's command line.
 
+use std::fmt::Display;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -63,40 +64,41 @@
     }
 }
 
+/// Settings to run with; the code to exit with if they are wrong, or were only to be checked.
+fn checked<T, E: Display>(loaded: Result<T, E>, path: &Path, check: bool) -> Result<T, ExitCode> {
+    match loaded {
+        Err(error) => {
+            eprintln!("{error}");
+            Err(ExitCode::from(EXIT_BAD_INPUT))
+        }
+        Ok(_) if check => {
+            println!("{}: ok", path.display());
+            Err(ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
+    }
+}
+
 fn run_on_platform(check: bool) -> anyhow::Result<ExitCode> {
     let variable = platform::settings::PATH_VARIABLE;
     let Some(path) = std::env::var_os(variable).map(PathBuf::from) else {
         eprintln!("{variable} is not set; it names the settings file");
         return Ok(ExitCode::from(EXIT_BAD_INPUT));
     };
-    let settings = match platform::settings::load(&path) {
+    let settings = match checked(platform::settings::load(&path), &path, check) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return Ok(ExitCode::from(EXIT_BAD_INPUT));
-        }
+        Err(code) => return Ok(code),
     };
-    if check {
-        println!("{}: ok", path.display());
-        return Ok(ExitCode::SUCCESS);
-    }
     logging::install(log::LevelFilter::Info, Stream::Stdout);
     on_platform::run(settings, &path)?;
     Ok(ExitCode::SUCCESS)
 }
 
 fn run(path: &Path, check: bool) -> anyhow::Result<ExitCode> {
-    let settings = match Settings::load(path) {
+    let settings = match checked(Settings::load(path), path, check) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return Ok(ExitCode::from(EXIT_BAD_INPUT));
-        }
+        Err(code) => return Ok(code),
     };
-    if check {
-        println!("{}: ok", path.display());
-        return Ok(ExitCode::SUCCESS);
-    }
     logging::install(settings.log_level, Stream::Stderr);
     let (tx, rx) = tokio::sync::oneshot::channel();
     let daemon = daemon::start(settings, async {
--- a/crates/relay/src/beside.rs
+++ b/crates/relay/src/beside.rs
@@ -13,10 +13,11 @@
 
 use crate::admission::Slot;
 use crate::fate;
+use crate::guards::{InFlight, RunGuard};
 use crate::headers::strip_connection;
 use crate::links::{Reply, SendError};
 use crate::payload::Payload;
-use crate::relay::{InFlight, Phase, Relay, RunGuard};
+use crate::relay::{Phase, Relay};
 
 /// Time after which a caller may ask again where the target is leaving or unknown here.
 const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/relay/src/fate.rs
+++ b/crates/relay/src/fate.rs
@@ -13,7 +13,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use policy::SendKey;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::links::{Reply, SendError};
 use crate::payload::Payload;
@@ -32,23 +32,34 @@
 const LIFE: HeaderName = HeaderName::from_static("berylhead-fate-life");
 /// Time that an answer may take: a connection and a round trip between data centres.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after an answer for which a daemon is taken to be there: a busy one may fall behind that
+/// far.
+const QUIET: Duration = Duration::from_millis(100);
 /// Time beyond the end of its use for which a send is remembered: more than its bytes can stay
 /// on their way while its sender still asks.
 const MARGIN: Duration = Duration::from_secs(1);
 
-/// Lives of other daemons, as each told last.
+/// Lives of other daemons, as each told last, and when.
 #[derive(Default)]
 pub(crate) struct Lives {
-    known: RefCell<HashMap<SocketAddr, u64>>,
+    known: RefCell<HashMap<SocketAddr, (u64, Instant)>>,
 }
 
 impl Lives {
-    pub(crate) fn told(&self, by: SocketAddr, life: u64) {
-        self.known.borrow_mut().insert(by, life);
+    /// Takes note of an answer of a daemon.
+    pub(crate) fn told(&self, by: SocketAddr, life: u64, now: Instant) {
+        self.known.borrow_mut().insert(by, (life, now));
     }
 
     pub(crate) fn of(&self, daemon: SocketAddr) -> Option<u64> {
-        self.known.borrow().get(&daemon).copied()
+        self.known.borrow().get(&daemon).map(|(life, _)| *life)
+    }
+
+    /// When a daemon has to be asked whether it is there: a while after it answered anything.
+    /// Under load, when all answers are overdue, nobody has to ask.
+    fn ask_at(&self, daemon: SocketAddr) -> Option<Instant> {
+        let known = self.known.borrow();
+        known.get(&daemon).map(|(_, heard)| *heard + QUIET)
     }
 
     /// Forgets all daemons but those to be kept.
@@ -75,10 +86,17 @@
 ) -> Result<Reply, SendError> {
     let mut sending = pin!(sending);
     let mut wait = overdue;
+    let mut at = Instant::now() + wait;
     loop {
-        if let Ok(result) = timeout(wait, &mut sending).await {
+        if let Ok(result) = timeout_at(at, &mut sending).await {
             return result;
         }
+        if let Some(ask_at) = relay.lives.ask_at(daemon).filter(|ask_at| *ask_at > at) {
+            at = ask_at;
+            continue;
+        }
+        wait *= 2;
+        at += wait;
         tokio::select! {
             result = &mut sending => return result,
             alive = is_alive(relay, daemon) => {
@@ -87,7 +105,6 @@
                 }
             }
         }
-        wait *= 2;
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/guards.rs
@@ -0,0 +1,95 @@
+//! Counters that hold while something is under way.
+
+use std::rc::Rc;
+
+use model::{Class, ServiceName};
+use policy::RunKey;
+use tokio::time::Instant;
+
+use crate::relay::Relay;
+
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct InFlight(Rc<Relay>);
+
+impl InFlight {
+    pub(crate) fn new(relay: &Rc<Relay>) -> Self {
+        relay.in_flight.set(relay.in_flight.get() + 1);
+        InFlight(Rc::clone(relay))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Counts an accepted connection as open until it is dropped.
+pub(crate) struct Connected(Rc<Relay>);
+
+impl Connected {
+    pub(crate) fn new(relay: &Rc<Relay>) -> Self {
+        relay.connections.set(relay.connections.get() + 1);
+        Connected(Rc::clone(relay))
+    }
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+/// Counts a root request as under way to services until it is dropped.
+pub(crate) struct UnderWay {
+    relay: Rc<Relay>,
+    class: Class,
+    services: Vec<ServiceName>,
+}
+
+impl UnderWay {
+    pub(crate) fn new(relay: &Rc<Relay>, class: Class, services: Vec<ServiceName>) -> Self {
+        let now = Instant::now().into_std();
+        let mut windows = relay.windows.borrow_mut();
+        for service in &services {
+            windows.begin(class, service, now);
+        }
+        drop(windows);
+        UnderWay {
+            relay: Rc::clone(relay),
+            class,
+            services,
+        }
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        let mut windows = self.relay.windows.borrow_mut();
+        for service in &self.services {
+            windows.end(self.class, service);
+        }
+    }
+}
+
+/// Counts as a run of the own target until it is dropped.
+pub(crate) struct RunGuard {
+    relay: Rc<Relay>,
+    key: RunKey,
+}
+
+impl RunGuard {
+    pub(crate) fn new(relay: &Rc<Relay>, run: policy::Run) -> Self {
+        let key = relay.runs.borrow_mut().begin(run);
+        RunGuard {
+            relay: Rc::clone(relay),
+            key,
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.relay.runs.borrow_mut().end(self.key);
+    }
+}
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -15,10 +15,11 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::error::{Error, Kind};
+use crate::guards::Connected;
 use crate::links::watch_for_silence;
 use crate::payload::Payload;
 use crate::plain::status_only;
-use crate::relay::{Connected, Phase, Relay};
+use crate::relay::{Phase, Relay};
 use crate::{mesh, metrics, origin};
 
 /// Connections that may wait to be accepted: callers open hundreds at once in a burst, and a
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -16,12 +16,13 @@
 
 use crate::beside::{self, Ended, Forward};
 use crate::fate;
+use crate::guards::InFlight;
 use crate::headers::strip_connection;
 use crate::links::SendError;
 use crate::payload::Payload;
 use crate::plain::status_only;
 use crate::pull;
-use crate::relay::{InFlight, Relay};
+use crate::relay::Relay;
 use crate::word::{self, Word};
 
 /// Time after which to ask again a daemon that can't be reached.
@@ -95,7 +96,7 @@
         let why = format!("answer {} without its end", head.status);
         return (Ended::Unknown { why }, None);
     };
-    relay.lives.told(to, end.life);
+    relay.lives.told(to, end.life, Instant::now());
     let word = Some(Word {
         load: end.load.as_ref().and_then(|load| load.parse().ok()),
         run_time: end.run_time,
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -12,12 +12,13 @@
 use wire::hop::HOP;
 
 use crate::beside::Forward;
+use crate::guards::InFlight;
 use crate::headers::strip_connection;
 use crate::inbound::Inbound;
 use crate::metrics::Outcome;
 use crate::payload::Payload;
 use crate::plain::{refused, status_only};
-use crate::relay::{InFlight, Phase, Relay};
+use crate::relay::{Phase, Relay};
 use crate::sending::{Sending, millis};
 
 /// Time after which to ask again a daemon that holds no configuration yet.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,14 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use model::{Class, InstanceId, ServiceName};
 use policy::{
-    Candidate, Census, Choice, Fates, GateConfig, InstanceKey, Leads, Origins, Place, Pressures,
-    ResendBudget, Router, RouterConfig, RunKey, Runs, Standing, Windows,
+    Candidate, Choice, Fates, GateConfig, Leads, Origins, Pressures, ResendBudget, Router,
+    RouterConfig, Runs, Standing, Windows,
 };
 use routes::{RouteTable, Split, Target, TargetState, Targets};
 use smol_str::SmolStr;
@@ -21,6 +21,8 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::names::HeaderNames;
+use crate::neighbours::Neighbours;
+use crate::service::ServiceState;
 use crate::settings::Settings;
 use crate::source::{Document, Parsers, State};
 use crate::view::{Offered, View};
@@ -35,12 +37,6 @@
 /// Time for which a daemon that said it leaves is not asked again. Its target may live on, and
 /// then the daemon is back within seconds; asking costs no more than one refusal.
 const LEAVING_LIFE: Duration = Duration::from_secs(1);
-/// Belief in failures from which a target is logged as failing: two of the last three calls or
-/// more failed.
-const FAILING_THOUSANDTHS: u64 = 500;
-/// Belief below which it is logged as answering again: well apart, so that the lines do not
-/// alternate.
-const ANSWERING_THOUSANDTHS: u64 = 100;
 /// Part of a target's slots that is left free, as a divisor: targets slow down when they are
 /// nearly full, some by a third, which costs more than these slots bring.
 const SPARE_DIVISOR: u32 = 14;
@@ -89,41 +85,6 @@
     splits: RefCell<HashMap<SmolStr, Split>>,
 }
 
-/// The daemons that are known.
-#[derive(Default)]
-pub(crate) struct Neighbours {
-    pub(crate) places: HashMap<IpAddr, Place>,
-    pub(crate) census: Census,
-}
-
-fn place(target: &Target) -> Place {
-    Place {
-        data_centre: target.data_centre.clone(),
-        service: target.service.clone(),
-    }
-}
-
-/// What this daemon keeps of one service that it calls.
-pub(crate) struct ServiceState {
-    pub(crate) router: Router,
-    pub(crate) resends: ResendBudget,
-    /// Targets that are logged as failing.
-    failing: HashSet<InstanceKey>,
-}
-
-impl ServiceState {
-    /// Logs when a target begins to fail and when it answers again.
-    pub(crate) fn log_trouble(&mut self, service: &ServiceName, key: InstanceKey, now: Instant) {
-        let trouble = self.router.trouble(key, now.into_std());
-        let id = self.router.instance(key).map_or("", InstanceId::as_str);
-        if trouble >= FAILING_THOUSANDTHS && self.failing.insert(key) {
-            log::warn!(service = service.as_str(), target_id = id, trouble_thousandths = trouble; "target failing");
-        } else if trouble < ANSWERING_THOUSANDTHS && self.failing.remove(&key) {
-            log::info!(service = service.as_str(), target_id = id; "target answers again");
-        }
-    }
-}
-
 impl Relay {
     pub(crate) fn new(cfg: Settings, names: HeaderNames, parse: Parsers) -> Rc<Self> {
         let now = Instant::now();
@@ -209,22 +170,14 @@
         view.own_was_listed |= view.own.is_some();
         drop(view);
         let view = self.view.borrow();
+        self.neighbours.replace(Neighbours::of(&view.targets));
         let daemons: HashSet<SocketAddr> = view.targets.iter().map(|t| self.daemon_of(t)).collect();
-        let places = view
-            .targets
-            .iter()
-            .map(|target| (target.address.ip(), place(target)));
-        let places: HashMap<IpAddr, Place> = places.collect();
         drop(view);
-        let census = places.values().cloned().collect();
-        self.neighbours.replace(Neighbours { places, census });
         self.lives.retain(|daemon| daemons.contains(daemon));
         self.refresh_gate();
         let now = Instant::now().into_std();
         for (name, state) in self.services.borrow_mut().iter_mut() {
-            state.router.update(&self.candidates(name), now);
-            let router = &state.router;
-            state.failing.retain(|key| router.instance(*key).is_some());
+            state.update(&self.candidates(name), now);
         }
     }
 
@@ -249,11 +202,7 @@
         router.update(&candidates, now);
         let bounds = &self.cfg.bounds;
         let resends = ResendBudget::new(bounds.retry_ratio, bounds.retry_window, now);
-        let mut state = ServiceState {
-            router,
-            resends,
-            failing: HashSet::new(),
-        };
+        let mut state = ServiceState::new(router, resends);
         let result = f(&mut state);
         self.services.borrow_mut().insert(name.clone(), state);
         result
@@ -309,92 +258,6 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped.
-pub(crate) struct InFlight(Rc<Relay>);
-
-impl InFlight {
-    pub(crate) fn new(relay: &Rc<Relay>) -> Self {
-        relay.in_flight.set(relay.in_flight.get() + 1);
-        InFlight(Rc::clone(relay))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
-/// Counts an accepted connection as open until it is dropped.
-pub(crate) struct Connected(Rc<Relay>);
-
-impl Connected {
-    pub(crate) fn new(relay: &Rc<Relay>) -> Self {
-        relay.connections.set(relay.connections.get() + 1);
-        Connected(Rc::clone(relay))
-    }
-}
-
-impl Drop for Connected {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
-/// Counts a root request as under way to services until it is dropped.
-pub(crate) struct UnderWay {
-    relay: Rc<Relay>,
-    class: Class,
-    services: Vec<ServiceName>,
-}
-
-impl UnderWay {
-    pub(crate) fn new(relay: &Rc<Relay>, class: Class, services: Vec<ServiceName>) -> Self {
-        let now = Instant::now().into_std();
-        let mut windows = relay.windows.borrow_mut();
-        for service in &services {
-            windows.begin(class, service, now);
-        }
-        drop(windows);
-        UnderWay {
-            relay: Rc::clone(relay),
-            class,
-            services,
-        }
-    }
-}
-
-impl Drop for UnderWay {
-    fn drop(&mut self) {
-        let mut windows = self.relay.windows.borrow_mut();
-        for service in &self.services {
-            windows.end(self.class, service);
-        }
-    }
-}
-
-/// Counts as a run of the own target until it is dropped.
-pub(crate) struct RunGuard {
-    relay: Rc<Relay>,
-    key: RunKey,
-}
-
-impl RunGuard {
-    pub(crate) fn new(relay: &Rc<Relay>, run: policy::Run) -> Self {
-        let key = relay.runs.borrow_mut().begin(run);
-        RunGuard {
-            relay: Rc::clone(relay),
-            key,
-        }
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        self.relay.runs.borrow_mut().end(self.key);
-    }
-}
-
 /// Class of a route's rank, of which 0 is the most urgent.
 pub(crate) fn class_of(priority: u32) -> Class {
     match priority {
--- a/crates/relay/src/sending.rs
+++ b/crates/relay/src/sending.rs
@@ -12,12 +12,13 @@
 use wire::Hop;
 
 use crate::beside::{self, Ended, Forward};
+use crate::guards::UnderWay;
 use crate::inbound::Inbound;
 use crate::mesh::{self, IfLost};
 use crate::metrics::Outcome;
 use crate::payload::Payload;
 use crate::plain::{refused, status_only};
-use crate::relay::{Relay, UnderWay};
+use crate::relay::Relay;
 use crate::word::{self, Word};
 
 /// Time after which to ask again where no target of the service is known.
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,6 +1,6 @@
 //! Routes by host and longest prefix.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use model::ServiceName;
 use smol_str::SmolStr;
@@ -101,11 +101,4 @@
         let begins = |key: &&RouteKey| path.starts_with(self.route(**key).prefix.as_str());
         keys?.iter().find(begins).copied()
     }
-
-    /// Names of all services that a route sends to, each once.
-    #[must_use]
-    pub fn destinations(&self) -> HashSet<&ServiceName> {
-        let shares = self.routes.iter().flat_map(|route| &route.shares);
-        shares.map(|share| &share.service).collect()
-    }
 }
