Keep headers of a target out of the words between daemons

Cause: found in the read-through: a target's own header of the name that marks called routes would have been taken for the daemon's word. Change: such headers are removed before the daemon's are written.

--- a/crates/relay/src/word.rs
+++ b/crates/relay/src/word.rs
@@ -61,6 +61,9 @@
         // Writing to a text can't fail.
         let _ = write!(text, "{space}{service}");
     }
+    // A target may have sent headers of these names.
+    headers.remove(CALLED);
+    headers.remove(PRESSURES);
     insert(headers, LEADS, &text);
     if relay.origins.borrow().is_called(route) {
         headers.insert(CALLED, HeaderValue::from_static("1"));
