Count what answers take beyond the run in the choice of a target

A target behind one reports short runs and free slots; how long its answers take on their way entered the choice only as silence, once nothing came at all.

Ruled out: the targets (no run was slow); overload (few sheds).

Tried first: the average of latencies that exists. It follows slowly, and a target that got few calls was shunned for seconds after its link had recovered (two pattern tests failed).

Change: each answer's time beyond the reported run is averaged with the one before, halves every 0.7 s, and counts as far as it exceeds run, queue and 40 ms.

Test: patterns/narrow_link.rs; without the change 86% in time, the bound is 95%.

--- a/crates/policy/src/completion.rs
+++ b/crates/policy/src/completion.rs
@@ -20,6 +20,9 @@
 pub(crate) const UNKNOWN_RUN: Duration = Duration::from_millis(20);
 /// Limit until one is known.
 const UNKNOWN_LIMIT: u32 = 16;
+/// Time beyond run and queue that answers usually take at most: two ways between data centres,
+/// and a busy daemon at each end.
+const USUAL_EXCESS: Duration = Duration::from_millis(40);
 const THOUSAND: u64 = 1_000;
 
 /// What is the same for all instances of a service.
@@ -91,6 +94,12 @@
     } else {
         0
     };
+    // A narrow link or a slow daemon shows only in how long answers take.
+    let queued_us = run_us * u64::from(taken) / u64::from(limit);
+    let path_us = instance
+        .excess_us(now)
+        .saturating_sub(run_us + queued_us)
+        .saturating_sub(micros(USUAL_EXCESS));
     let trouble = instance.trouble.thousandths(now);
     let per_trouble = (TROUBLE_RUNS * scale.mean_run_us).max(micros(LEAST_TROUBLE));
     run_us / RUN_DIVISOR
@@ -98,6 +107,7 @@
         + crowd_us
         + far_us
         + silent_us
+        + path_us
         + per_trouble * trouble / THOUSAND
 }
 
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -19,6 +19,8 @@
 const QUEUED_WEIGHT: u32 = 2;
 /// Time after which the average of an idle instance counts half.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Time in which what answers took beyond the run counts half, without another one.
+const EXCESS_HALF_LIFE: Duration = Duration::from_millis(700);
 /// Silence that counts, in mean runs of the instance: answers come closer together from one that
 /// has several calls.
 const SILENT_RUNS: u32 = 4;
@@ -39,6 +41,8 @@
     standing: Standing,
     latency_us: u64,
     answered_at: Option<Instant>,
+    /// Average of the time that answers took beyond the run, as of the last answer.
+    excess_us: u64,
     load: Option<(Load, Instant)>,
     /// Own calls since the last report; it doesn't count them.
     sent_since_report: u32,
@@ -61,6 +65,7 @@
             standing: candidate.standing,
             latency_us: 0,
             answered_at: None,
+            excess_us: 0,
             load: None,
             sent_since_report: 0,
             heard: None,
@@ -158,6 +163,10 @@
 
     pub(crate) fn answered(&mut self, latency: Duration, now: Instant) {
         self.health.succeeded(now);
+        if let Some(run) = self.run_time {
+            let excess_us = micros(latency.saturating_sub(run));
+            self.excess_us = u64::midpoint(self.excess_us(now), excess_us);
+        }
         self.answered_at = Some(now);
         let sample = micros(latency).max(1);
         self.latency_us = match self.latency_us {
@@ -166,6 +175,15 @@
         };
     }
 
+    /// Time that answers took of late beyond the run, for the way there and back and for a queue.
+    /// It fades, so that the instance is tried again.
+    pub(crate) fn excess_us(&self, now: Instant) -> u64 {
+        let Some(at) = self.answered_at else { return 0 };
+        let age = now.saturating_duration_since(at).as_millis();
+        let halvings = u32::try_from(age / EXCESS_HALF_LIFE.as_millis()).unwrap_or(u32::MAX);
+        self.excess_us.checked_shr(halvings).unwrap_or(0)
+    }
+
     /// Expected cost of one more call, growing with what is under way.
     pub(crate) fn cost(&self, now: Instant) -> u64 {
         let latency_us = match self.latency_us {
--- a/crates/policy/tests/patterns/fleet.rs
+++ b/crates/policy/tests/patterns/fleet.rs
@@ -29,6 +29,8 @@
     Runs(u64),
     /// Answers nothing; what it holds goes on when it runs again.
     Silent,
+    /// Runs as usual; answers take so many milliseconds longer on their way.
+    Delays(u64),
     /// Refuses every so many a call at once and runs the others.
     RefusesOneIn(u64),
 }
@@ -63,6 +65,8 @@
     routers: Vec<Router>,
     running: [Vec<Call>; TARGETS],
     queues: [VecDeque<Call>; TARGETS],
+    /// Answers on their way, with the times of their arrival and the load that they report.
+    answers: [VecDeque<(u64, Call, Load)>; TARGETS],
     count: u64,
     tallies: Vec<Tally>,
 }
@@ -101,6 +105,7 @@
             routers,
             running: Default::default(),
             queues: Default::default(),
+            answers: Default::default(),
             count: 0,
             tallies: vec![Tally::default(); usize::try_from(seconds).unwrap()],
         }
@@ -161,10 +166,11 @@
         for call in left {
             self.finish(&call, CallEnd::Cancelled, None, now);
         }
-        let run_ms = match manner {
+        let (run_ms, delay_ms) = match manner {
             Manner::Silent => return,
-            Manner::Runs(ms) => ms,
-            Manner::RefusesOneIn(_) => RUN_MS,
+            Manner::Runs(ms) => (ms, 0),
+            Manner::Delays(ms) => (RUN_MS, ms),
+            Manner::RefusesOneIn(_) => (RUN_MS, 0),
         };
         let is_done = |call: &mut Call| call.ends.is_some_and(|ends| ends <= now);
         let done: Vec<Call> = self.running[target].extract_if(.., is_done).collect();
@@ -181,7 +187,9 @@
             queue_delay: Duration::ZERO,
             floor: Class::Bulk,
         };
-        for call in done {
+        let sent = done.into_iter().map(|call| (now + delay_ms, call, load));
+        self.answers[target].extend(sent);
+        while let Some((_, call, load)) = self.answers[target].pop_front_if(|(at, ..)| *at <= now) {
             let router = &mut self.routers[call.origin];
             router.report_run_time(call.key, Duration::from_millis(run_ms));
             self.finish(&call, CallEnd::Answered, Some(load), now);
--- a/crates/policy/tests/patterns/main.rs
+++ b/crates/policy/tests/patterns/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod frozen_daemon;
 mod grey_target;
+mod narrow_link;
 mod slow_quarter;
 mod till_lost;
 mod zone_cut;
