--- a/crates/proof/tests/platform_processes.rs
+++ b/crates/proof/tests/platform_processes.rs
@@ -54,6 +54,12 @@
         self.child = spawn(&self.settings, log.expect("the log").into());
     }
 
+    /// True if a line with this message was logged.
+    fn logged(&self, message: &str) -> bool {
+        let log = std::fs::read_to_string(&self.log).expect("the log");
+        log.contains(&format!(r#""message":"{message}""#))
+    }
+
     /// Messages that were logged about a request so far.
     fn messages(&self, id: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log).expect("the log");
@@ -194,6 +200,26 @@
     }
 }
 
+#[tokio::test]
+async fn a_target_that_fails_is_named_once_until_it_answers_again() {
+    let fleet = fleet(by_id).await;
+    for _ in 0..8 {
+        fleet.ask("book", "refused").await;
+    }
+    until("it is named", || async {
+        fleet.origin.logged("target failing")
+    })
+    .await;
+    assert!(!fleet.origin.logged("target answers again"));
+    until("it answers again", || async {
+        fleet.ask("book", "fine").await;
+        fleet.origin.logged("target answers again")
+    })
+    .await;
+    let log = std::fs::read_to_string(&fleet.origin.log).expect("the log");
+    assert_eq!(log.matches("target failing").count(), 1, "{log}");
+}
+
 #[tokio::test]
 async fn nobody_who_reads_the_log_holds_up_no_request() {
     let mut fleet = fleet(by_id).await;
