--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -192,7 +192,9 @@
             told("pressure_thousandths"),
             told("pressure_age_ms"),
             told("under_way"),
-            told("window"),
+            shown(fields, "window")
+                .parse::<f64>()
+                .map_or_else(|_| told("window"), |window| format!("{window:.1}")),
             back()
         ),
         "request refused" => format!(
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -65,7 +65,7 @@
 /// Lines of two daemons on the platform: one in a file of its own, one as a collector joins them.
 const ORIGIN: &str = r#"{"level":"info","message":"started","name":"desk-1","service":"s1","time_ms":1000}
 {"class":"critical","id":"5f1","is_call":"false","arrivals":0,"level":"info","message":"outcome unknown","route":"book","service":"till","target_id":"i-9","why":"the daemon beside the target doesn't know","time_ms":2040}
-{"class":"browse","id":"77a","level":"info","message":"request shed","pressure_age_ms":12,"pressure_thousandths":"1510","retry_after_ms":180,"route":"look","short_of":"till","under_way":4,"window":"2","time_ms":2050}
+{"class":"browse","id":"77a","level":"info","message":"request shed","pressure_age_ms":12,"pressure_thousandths":"1510","retry_after_ms":180,"route":"look","short_of":"till","under_way":4,"window":"2.7956888","time_ms":2050}
 {"asked":2,"arrivals":0,"class":"browse","held_ms":9,"id":"78b","level":"info","message":"request refused","reason":"evicted","retry_after_ms":180,"route":"look","time_ms":2050}
 "#;
 const COLLECTED: &str = r#"not a line of a daemon
@@ -84,7 +84,7 @@
     exit 0
     ");
     assert_snapshot!(explain("77a"), @r"
-    +0.0 ms  desk-1  look browse: shed before it began, as till has 1510 thousandths of the work that it can run (word of 12 ms ago) and 4 of 2 such requests are under way from here; may come back after 180 ms  <- decisive
+    +0.0 ms  desk-1  look browse: shed before it began, as till has 1510 thousandths of the work that it can run (word of 12 ms ago) and 4 of 2.8 such requests are under way from here; may come back after 180 ms  <- decisive
     exit 0
     ");
     assert_snapshot!(explain("78b"), @r"
