Look for a request's possible runs only where it may be a call

Every request that begins on a machine, also a plain one of a caller, scanned all runs in flight and collected their routes, though that decides only for routes that are proved or told to be called.

Change: Leads::began asks for the candidates by a closure, after the cheap checks.

--- a/crates/policy/src/leads.rs
+++ b/crates/policy/src/leads.rs
@@ -65,13 +65,14 @@
     }
 
     /// Takes note of a request that begins here, of the time that it has left, of the route
-    /// whose run surely made it, if any, and of all whose runs may have made it.
+    /// whose run surely made it, if any, and of all whose runs may have made it; these are
+    /// asked for only if it may be a call.
     pub fn began(
         &mut self,
         route: &SmolStr,
         left: Option<Duration>,
         parent: Option<&SmolStr>,
-        candidates: &[SmolStr],
+        candidates: impl FnOnce() -> Vec<SmolStr>,
     ) -> Began {
         let leads = self.entry(route);
         let is_shortened = left.is_some_and(|left| leads.is_shortened(left));
@@ -83,12 +84,21 @@
                 leads.shortened_of_runs /= 2;
             }
         }
-        let is_call = leads.is_called(!candidates.is_empty());
+        let proved = leads.is_proved_call();
+        let mut began = Began {
+            is_call: proved.unwrap_or(leads.told_called),
+            is_shortened,
+        };
+        if !began.is_call {
+            return began;
+        }
         let parents = match parent {
-            Some(parent) if is_shortened => std::slice::from_ref(parent),
-            _ => candidates,
+            Some(parent) if is_shortened => vec![parent.clone()],
+            _ => candidates(),
         };
-        for parent in parents.iter().filter(|_| is_call) {
+        // Where only the word of others says so, a run has to be there that may have made it.
+        began.is_call = proved.is_some() || !parents.is_empty();
+        for parent in &parents {
             let calls = &mut self.entry(parent).calls;
             match calls.get_mut(route) {
                 Some(count) => *count += 1,
@@ -97,10 +107,7 @@
                 }
             }
         }
-        Began {
-            is_call,
-            is_shortened,
-        }
+        began
     }
 
     /// Forgets routes that are no longer there.
@@ -166,13 +173,10 @@
         left + TOLERANCE < self.longest_wait
     }
 
-    /// True if a request of the route that begins here is a call of the own target. A caller's
-    /// request that came back lies close to a run's deadline only by chance; without such
-    /// requests, the word of the daemons beside its targets counts.
-    fn is_called(&self, has_candidates: bool) -> bool {
-        if self.shortened >= LEAST_REQUESTS {
-            return 5 * self.shortened_of_runs > 3 * self.shortened;
-        }
-        self.told_called && has_candidates
+    /// Whether requests of the route that begin here are calls of the own target; `None` while
+    /// too few tell. A caller's request that came back lies close to a run's deadline only by
+    /// chance.
+    fn is_proved_call(&self) -> Option<bool> {
+        (self.shortened >= LEAST_REQUESTS).then(|| 5 * self.shortened_of_runs > 3 * self.shortened)
     }
 }
--- a/crates/policy/tests/leads.rs
+++ b/crates/policy/tests/leads.rs
@@ -20,7 +20,7 @@
         let left = if shortened { FULL / 2 } else { FULL };
         let parent = (shortened && n / 2 % one_in == 0).then(|| name(parent));
         is_call = leads
-            .began(&name(route), Some(left), parent.as_ref(), &[])
+            .began(&name(route), Some(left), parent.as_ref(), Vec::new)
             .is_call;
     }
     is_call
@@ -40,13 +40,17 @@
 fn a_caller_that_has_waited_before_is_told_from_one_that_has_not() {
     let mut leads = Leads::default();
     let route = name("listing");
-    assert!(!leads.began(&route, Some(FULL), None, &[]).is_shortened);
+    assert!(!leads.began(&route, Some(FULL), None, Vec::new).is_shortened);
     assert!(
         !leads
-            .began(&route, Some(Duration::from_millis(699)), None, &[])
+            .began(&route, Some(Duration::from_millis(699)), None, Vec::new)
+            .is_shortened
+    );
+    assert!(
+        leads
+            .began(&route, Some(FULL / 2), None, Vec::new)
             .is_shortened
     );
-    assert!(leads.began(&route, Some(FULL / 2), None, &[]).is_shortened);
 }
 
 #[test]
@@ -86,10 +90,14 @@
     let (peek, index) = (name("peek"), name("index"));
     leads.told(&peek, ["facturas".into()].into_iter(), true);
     let runs = [index.clone()];
-    assert!(!leads.began(&peek, Some(FULL), None, &[]).is_call);
+    assert!(!leads.began(&peek, Some(FULL), None, Vec::new).is_call);
     for _ in 0..50 {
         leads.ran(&index);
-        assert!(leads.began(&peek, Some(FULL), None, &runs).is_call);
+        assert!(
+            leads
+                .began(&peek, Some(FULL), None, || runs.to_vec())
+                .is_call
+        );
     }
     assert_eq!(leads.of_runs(&index), ["facturas".into()]);
 }
@@ -101,8 +109,12 @@
     leads.told(&route, ["facturas".into()].into_iter(), true);
     let runs = [name("index")];
     for _ in 0..8 {
-        leads.began(&route, Some(FULL), None, &runs);
-        leads.began(&route, Some(FULL / 2), None, &runs);
+        leads.began(&route, Some(FULL), None, || runs.to_vec());
+        leads.began(&route, Some(FULL / 2), None, || runs.to_vec());
     }
-    assert!(!leads.began(&route, Some(FULL), None, &runs).is_call);
+    assert!(
+        !leads
+            .began(&route, Some(FULL), None, || runs.to_vec())
+            .is_call
+    );
 }
--- a/crates/relay/src/inbound.rs
+++ b/crates/relay/src/inbound.rs
@@ -57,13 +57,13 @@
         let runs = relay.runs.borrow();
         let sure = at.and_then(|at| runs.sure_parent(at));
         let parent_route = sure.and_then(|run| relay.admission.route(run.operation));
-        let candidates = at.map_or_else(Vec::new, |at| runs.candidates(at));
-        let candidates: Vec<SmolStr> = candidates
-            .into_iter()
-            .filter_map(|operation| relay.admission.route(operation))
-            .collect();
+        let candidates = || -> Vec<SmolStr> {
+            let operations = at.map_or_else(Vec::new, |at| runs.candidates(at));
+            let routes = operations.into_iter().map(|key| relay.admission.route(key));
+            routes.flatten().collect()
+        };
         let mut leads = relay.leads.borrow_mut();
-        let began = leads.began(&route.name, told, parent_route.as_ref(), &candidates);
+        let began = leads.began(&route.name, told, parent_route.as_ref(), candidates);
         let likely = || runs.likely_parent(at?, !began.is_shortened);
         let sure = sure.filter(|_| began.is_shortened);
         let parent = if began.is_call {
