Fade by one function

The belief in failures, the excess of answers and the latency of an idle instance each halved with age in code of their own; scale::faded does it for all. Scale has one impl block again. Behaviour is the same.

--- a/crates/policy/src/completion.rs
+++ b/crates/policy/src/completion.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::instance::Instance;
-use crate::scale::micros;
+use crate::scale::{faded, micros};
 
 /// Part of a run's own length that counts, as a divisor: a slower target serves as well while
 /// its answers come in time.
@@ -61,9 +61,7 @@
                 .max(1),
         }
     }
-}
 
-impl Scale {
     fn least_run(self) -> Duration {
         Duration::from_micros(self.least_run_us)
     }
@@ -72,7 +70,7 @@
 /// Cost of one more call to an instance, in microseconds.
 ///
 /// It is made up of the run, the wait for a slot, what a nearly full target adds, the way to
-/// another data centre, silence, and failures of late.
+/// another data centre, a slow way, silence, and failures of late.
 pub(crate) fn cost(instance: &Instance, near: bool, scale: Scale, now: Instant) -> u64 {
     let run_us = instance.run_time.map_or(scale.least_run_us, micros).max(1);
     let limit = instance
@@ -132,8 +130,7 @@
 
     pub(crate) fn thousandths(&self, now: Instant) -> u64 {
         let Some(at) = self.at else { return 0 };
-        let age = now.saturating_duration_since(at).as_millis();
-        let halvings = u32::try_from(age / TROUBLE_HALF_LIFE.as_millis()).unwrap_or(u32::MAX);
-        self.thousandths.checked_shr(halvings).unwrap_or(0)
+        let age = now.saturating_duration_since(at);
+        faded(self.thousandths, age, TROUBLE_HALF_LIFE)
     }
 }
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -8,7 +8,7 @@
 use crate::completion::Trouble;
 use crate::eject::{FULL_SHARE, Health};
 use crate::load::Load;
-use crate::scale::{ewma, micros};
+use crate::scale::{ewma, faded, micros};
 
 /// Age after which a reported load is no longer believed.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
@@ -179,16 +179,15 @@
     /// It fades, so that the instance is tried again.
     pub(crate) fn excess_us(&self, now: Instant) -> u64 {
         let Some(at) = self.answered_at else { return 0 };
-        let age = now.saturating_duration_since(at).as_millis();
-        let halvings = u32::try_from(age / EXCESS_HALF_LIFE.as_millis()).unwrap_or(u32::MAX);
-        self.excess_us.checked_shr(halvings).unwrap_or(0)
+        let age = now.saturating_duration_since(at);
+        faded(self.excess_us, age, EXCESS_HALF_LIFE)
     }
 
     /// Expected cost of one more call, growing with what is under way.
     pub(crate) fn cost(&self, now: Instant) -> u64 {
         let latency_us = match self.latency_us {
             0 => UNKNOWN_LATENCY_US,
-            average => (average >> self.idle_half_lives(now)).max(1),
+            average => faded(average, self.idle(now), LATENCY_HALF_LIFE).max(1),
         };
         let delay_us = self
             .fresh_load(now)
@@ -197,14 +196,11 @@
         (latency_us + delay_us).saturating_mul(under_way)
     }
 
-    /// An old average of an idle instance fades, so that one bad spell does not keep
-    /// all work away for ever.
-    fn idle_half_lives(&self, now: Instant) -> u32 {
-        let Some(at) = self.answered_at.filter(|_| self.in_flight == 0) else {
-            return 0;
-        };
-        let idle = now.saturating_duration_since(at).as_millis() / LATENCY_HALF_LIFE.as_millis();
-        u32::try_from(idle).map_or(u64::BITS - 1, |lives| lives.min(u64::BITS - 1))
+    /// Time since its last answer, if nothing is under way. An old average of an idle instance
+    /// fades, so that one bad spell does not keep all work away for ever.
+    fn idle(&self, now: Instant) -> Duration {
+        let at = self.answered_at.filter(|_| self.in_flight == 0);
+        at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
     /// True if the instance lately admitted only more important classes.
--- a/crates/policy/src/scale.rs
+++ b/crates/policy/src/scale.rs
@@ -38,6 +38,12 @@
     }
 }
 
+/// A value that halves with each half-life of its age.
+pub(crate) fn faded(value: u64, age: Duration, half_life: Duration) -> u64 {
+    let halvings = u32::try_from(age.as_millis() / half_life.as_millis()).unwrap_or(u32::MAX);
+    value.checked_shr(halvings).unwrap_or(0)
+}
+
 /// Spreads a duration over 50% to 150% of itself by the bits of a hash.
 pub(crate) fn jitter(duration: Duration, hash: u64) -> Duration {
     let span = hash.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 54;
