Ask other daemons in one way

Fetching a state, asking for a fate and asking whether a daemon is there each built the same request; Links::ask does. Behaviour is the same.

--- a/crates/relay/src/fate.rs
+++ b/crates/relay/src/fate.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use policy::SendKey;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -110,12 +110,7 @@
 
 async fn is_alive(relay: &Relay, daemon: SocketAddr) -> bool {
     let asked = async {
-        let req = Request::get(ALIVE_PATH)
-            .header(header::HOST, "daemon")
-            .body(Payload::empty())
-            .map_err(|_| "no request")?;
-        let sent = relay.links.send(daemon, req).await;
-        let reply = sent.map_err(|_| "not reached")?;
+        let reply = relay.links.ask(daemon, Request::get(ALIVE_PATH)).await?;
         relay.links.keep(reply.link, &reply.head.headers);
         Ok::<(), &str>(())
     };
@@ -164,17 +159,10 @@
 ) -> Result<Told, &'static str> {
     let left = deadline.saturating_duration_since(Instant::now());
     let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    let req = Request::get(PATH)
-        .header(header::HOST, "daemon")
+    let page = Request::get(PATH)
         .header(SEND, format!("{:016x}", send.0))
-        .header(TIME_LEFT, left_ms)
-        .body(Payload::empty())
-        .map_err(|_| "no request")?;
-    let reply = relay
-        .links
-        .send(daemon, req)
-        .await
-        .map_err(|_| "not reached")?;
+        .header(TIME_LEFT, left_ms);
+    let reply = relay.links.ask(daemon, page).await?;
     let never_runs = match reply.head.status {
         StatusCode::OK => true,
         StatusCode::CONFLICT => false,
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -8,7 +8,7 @@
 use derive_more::Display;
 use futures_util::FutureExt;
 use http::response::Parts;
-use http::{HeaderMap, Request, header};
+use http::{HeaderMap, Request, header, request};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -104,6 +104,20 @@
         }
     }
 
+    /// Asks another daemon for one of its own pages; the connection is to be kept once the
+    /// answer is read.
+    pub(crate) async fn ask(
+        &self,
+        daemon: SocketAddr,
+        page: request::Builder,
+    ) -> Result<Reply, &'static str> {
+        let req = page
+            .header(header::HOST, "daemon")
+            .body(Payload::empty())
+            .map_err(|_| "no request")?;
+        self.send(daemon, req).await.map_err(|_| "not reached")
+    }
+
     /// Keeps a connection after a whole answer, unless the answer says that it closes.
     pub(crate) fn keep(&self, mut link: Link, answer: &HeaderMap) {
         let closes = answer
--- a/crates/relay/src/pull.rs
+++ b/crates/relay/src/pull.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout};
 
@@ -77,15 +77,7 @@
         State::Table => TABLE_PATH,
         State::Targets => TARGETS_PATH,
     };
-    let req = Request::get(path)
-        .header(header::HOST, "daemon")
-        .body(Payload::empty())
-        .map_err(|_| "no request")?;
-    let reply = relay
-        .links
-        .send(from, req)
-        .await
-        .map_err(|_| "not reached")?;
+    let reply = relay.links.ask(from, Request::get(path)).await?;
     if reply.head.status != StatusCode::OK {
         return Err("not handed out");
     }
