Take the own daemon's word where the others' words are taken

Sending collected by itself what another daemon tells with its answer; word::hear_own does it beside word::hear. Lives are kept by the neighbours that are known already, in place of a second set of the same addresses, built at each change of the targets. Behaviour is the same.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -171,9 +171,11 @@
         drop(view);
         let view = self.view.borrow();
         self.neighbours.replace(Neighbours::of(&view.targets));
-        let daemons: HashSet<SocketAddr> = view.targets.iter().map(|t| self.daemon_of(t)).collect();
         drop(view);
-        self.lives.retain(|daemon| daemons.contains(daemon));
+        let neighbours = self.neighbours.borrow();
+        self.lives
+            .retain(|daemon| neighbours.places.contains_key(&daemon.ip()));
+        drop(neighbours);
         self.refresh_gate();
         let now = Instant::now().into_std();
         for (name, state) in self.services.borrow_mut().iter_mut() {
--- a/crates/relay/src/sending.rs
+++ b/crates/relay/src/sending.rs
@@ -215,14 +215,8 @@
         let hop = self.hop(target, began);
         let (ended, word) = if target.address == self.relay.cfg.target {
             let ended = beside::run(self.relay, hop, forward).await;
-            let route = &self.request.route.name;
-            word::came(self.relay, route, target.address.ip());
-            let services = word::leads(self.relay, route);
-            let is_called = self.relay.origins.borrow().is_called(route);
-            let mut leads = self.relay.leads.borrow_mut();
-            leads.told(route, services.into_iter(), is_called);
-            let report = self.relay.admission.report(Instant::now());
-            (ended, Some(Word::from(report)))
+            let word = word::hear_own(self.relay, &self.request.route.name);
+            (ended, Some(word))
         } else {
             let lost = self.if_lost(service, key);
             mesh::send(self.relay, target, &hop, lost, forward).await
--- a/crates/relay/src/word.rs
+++ b/crates/relay/src/word.rs
@@ -37,7 +37,7 @@
 }
 
 /// Services that runs of a route in the own target lead to, the own one first.
-pub(crate) fn leads(relay: &Relay, route: &SmolStr) -> Vec<ServiceName> {
+fn leads(relay: &Relay, route: &SmolStr) -> Vec<ServiceName> {
     let mut services = relay.leads.borrow().of_runs(route);
     services.retain(|service| *service != relay.cfg.service);
     services.insert(0, relay.cfg.service.clone());
@@ -53,6 +53,17 @@
     }
 }
 
+/// Takes note of a request that began here and ended in the own target: what other daemons
+/// hear with the answer.
+pub(crate) fn hear_own(relay: &Relay, route: &SmolStr) -> Word {
+    came(relay, route, relay.cfg.target.ip());
+    let services = leads(relay, route);
+    let is_called = relay.origins.borrow().is_called(route);
+    let mut leads = relay.leads.borrow_mut();
+    leads.told(route, services.into_iter(), is_called);
+    Word::from(relay.admission.report(Instant::now()))
+}
+
 /// Writes where a route leads and what pressures were heard into the headers of an answer.
 pub(crate) fn tell(relay: &Relay, route: &SmolStr, headers: &mut HeaderMap) {
     let mut text = String::new();
