Name classes in one place

The metrics of relay repeated the names that Display and FromStr of Class had, each for itself; Class::name serves all three, without an allocation for a label. Behaviour is the same.

--- a/crates/model/src/class.rs
+++ b/crates/model/src/class.rs
@@ -12,19 +12,16 @@
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(rename_all = "lowercase")]
+#[display("{}", self.name())]
 #[repr(u8)]
 pub enum Class {
     /// Large transfers that can come later, such as photo packs.
-    #[display("bulk")]
     Bulk = 0,
     /// Browsing and listings.
-    #[display("browse")]
     Browse = 1,
     /// Reads that must answer but may wait.
-    #[display("standard")]
     Standard = 2,
     /// Bookings, deposits, pledges and invoices.
-    #[display("critical")]
     Critical = 3,
 }
 
@@ -32,6 +29,17 @@
     /// All classes, the least important first.
     pub const ALL: [Class; 4] = [Class::Bulk, Class::Browse, Class::Standard, Class::Critical];
 
+    /// Its name in documents, headers, logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Class::Bulk => "bulk",
+            Class::Browse => "browse",
+            Class::Standard => "standard",
+            Class::Critical => "critical",
+        }
+    }
+
     /// Returns the position in [`Class::ALL`].
     #[must_use]
     pub fn index(self) -> usize {
@@ -48,13 +56,8 @@
     type Err = UnknownClass;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "bulk" => Ok(Class::Bulk),
-            "browse" => Ok(Class::Browse),
-            "standard" => Ok(Class::Standard),
-            "critical" => Ok(Class::Critical),
-            _ => Err(UnknownClass),
-        }
+        let named = Class::ALL.into_iter().find(|class| class.name() == text);
+        named.ok_or(UnknownClass)
     }
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -88,12 +88,7 @@
 
     /// Counts a request that began here.
     pub(crate) fn ended(&self, class: Option<Class>, outcome: Outcome, time: Duration) {
-        let class = class.map_or("none", |class| match class {
-            Class::Bulk => "bulk",
-            Class::Browse => "browse",
-            Class::Standard => "standard",
-            Class::Critical => "critical",
-        });
+        let class = class.map_or("none", Class::name);
         let labels = [
             KeyValue::new("class", class),
             KeyValue::new("outcome", outcome.name()),
