--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -99,9 +99,7 @@
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
         }
     }
-}
 
-impl Writer {
     /// Waits until what was told before is written, for a while at the most.
     fn flush(&self) {
         let (tx, flushed) = sync_channel(0);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -166,11 +166,11 @@
         "/-/kv-key" => key(state, text("key")),
         "/-/kv-range" => range(state, text("prefix"), text("after")),
         "/-/kv-watch" if mode == StoreMode::WithoutHistory => status(StatusCode::GONE),
-        "/-/kv-watch" if state.has_forgotten(text("after").parse().unwrap_or(0)) => {
-            status(StatusCode::GONE)
-        }
         "/-/kv-watch" => {
             let after = text("after").parse().unwrap_or(0);
+            if state.has_forgotten(after) {
+                return Ok(status(StatusCode::GONE));
+            }
             let wait = text("waitMs")
                 .parse()
                 .map_or(Duration::ZERO, Duration::from_millis);
