Tell calls from callers' requests by matches against chance

Cause: on the new deployments clients and targets send times left that differ by up to a seventh, so nearly every request counted as shortened. Ruled out: calls learned late (shed through the whole burst), health, targets that reject by themselves (only from 13 s on). Change: a route is called if a quarter of its requests match the deadline of a run and twice as many as by chance, measured by the density of run deadlines nearby, or if the report says so and a run may have made them. A request is shortened below three quarters of the longest time left.

--- a/crates/policy/src/dependencies.rs
+++ b/crates/policy/src/dependencies.rs
@@ -11,8 +11,19 @@
 /// A route counts as a caller of another if at least one call per this many of its runs was
 /// matched to them. Calls matched to the wrong run are rarer.
 const MAX_RUNS_PER_CALL: u32 = 8;
-/// Requests with shortened time needed to decide whether a route is called by the local target.
-const MIN_SHORTENED: u32 = 8;
+/// Requests of a route needed to decide whether its callers are runs of the local target.
+const MIN_REQUESTS: u32 = 16;
+/// Share of a route's requests, as a divisor, that must match a run by their deadline for the route
+/// to be called by the local target. Calls that expire by themselves before their run match none.
+const MATCHED_DIVISOR: u32 = 4;
+/// Factor by which the matches must exceed those to be expected by chance.
+const CHANCE_FACTOR: f64 = 2.0;
+/// Share of a route's requests, as a divisor, made while no run could have made them, above which
+/// the route also has external callers.
+const ORPHANS_DIVISOR: u32 = 8;
+/// A request with less than this share of the longest time left of its route has been sent before
+/// or is bounded by a run. Callers may set times that differ by more than a tenth.
+const SHORTENED_SHARE: f64 = 0.75;
 
 /// Dependencies between routes, as inferred by the daemon beside a target.
 #[derive(Debug, Default)]
@@ -31,6 +42,15 @@
     pub is_shortened: bool,
 }
 
+/// Run of the local target whose deadline a request matches.
+#[derive(Clone, Debug, Default)]
+pub struct MatchedRun {
+    /// Route of the run; `None` if there is no such run.
+    pub route: Option<SmolStr>,
+    /// Probability of a match if no run made the request.
+    pub by_chance: f64,
+}
+
 /// Counts and reports for one route.
 #[derive(Debug, Default)]
 struct RouteStats {
@@ -38,11 +58,14 @@
     runs: u32,
     /// Calls that those runs made, by called route.
     calls: HashMap<SmolStr, u32>,
-    /// Requests of the route that entered here with clearly less than the longest time left:
-    /// retries of external callers, and calls of the local target whose run ends sooner.
-    shortened: u32,
-    /// Shortened requests whose parent run was identified by its deadline.
-    shortened_of_runs: u32,
+    /// Requests of the route that entered here.
+    requests: u32,
+    /// Those whose deadline matches that of a run.
+    matched: u32,
+    /// Matches to be expected if none of the requests were calls.
+    matched_by_chance: f64,
+    /// Those made while no run of the local target could have made them.
+    orphans: u32,
     /// Longest time left of any request.
     longest_left: Duration,
     /// Services that the route's requests depend on, as reported with their answers.
@@ -68,41 +91,41 @@
     /// Records a request that enters at this daemon and infers whether it is a call of the local
     /// target.
     ///
-    /// `left` is the time that the request has left, `parent` the route of the run whose
-    /// deadline it matches, and `possible_parents` returns the routes of all runs that may have
-    /// made it. `possible_parents` is called only if the request may be a call.
+    /// `left` is the time that the request has left. `matched` is the run whose deadline it
+    /// matches, and `possible_parents` returns the routes of all runs that may have made it.
+    ///
+    /// A route is called by the local target if its requests match runs more often than by chance,
+    /// or if the daemons that serve the route report that only targets call it.
     pub fn classify_request(
         &mut self,
         route: &SmolStr,
         left: Option<Duration>,
-        parent: Option<&SmolStr>,
+        matched: &MatchedRun,
         possible_parents: impl FnOnce() -> Vec<SmolStr>,
     ) -> RequestKind {
         let stats = self.entry(route);
         let is_shortened = left.is_some_and(|left| stats.is_shortened(left));
-        if is_shortened {
-            stats.shortened += 1;
-            stats.shortened_of_runs += u32::from(parent.is_some());
-            if stats.shortened >= HALVING_COUNT {
-                stats.shortened /= 2;
-                stats.shortened_of_runs /= 2;
-            }
-        }
-        let inferred = stats.infer_is_call();
+        stats.record_request(matched);
+        let matches_runs = stats.matches_runs();
         let mut kind = RequestKind {
-            is_call: inferred.unwrap_or(stats.reported_called),
+            is_call: matches_runs || stats.reported_called,
             is_shortened,
         };
         if !kind.is_call {
             return kind;
         }
-        let parents = match parent {
-            Some(parent) if is_shortened => vec![parent.clone()],
-            _ => possible_parents(),
+        let parents = match &matched.route {
+            Some(parent) => vec![parent.clone()],
+            None => possible_parents(),
         };
-        // If only other daemons report the route as called, a run that may have made the call
-        // must be under way as well.
-        kind.is_call = inferred.is_some() || !parents.is_empty();
+        let stats = self.entry(route);
+        stats.orphans += u32::from(parents.is_empty());
+        let has_external_callers =
+            stats.requests >= MIN_REQUESTS && stats.orphans * ORPHANS_DIVISOR > stats.requests;
+        kind.is_call = matches_runs || !parents.is_empty() && !has_external_callers;
+        if !kind.is_call {
+            return kind;
+        }
         for parent in &parents {
             let calls = &mut self.entry(parent).calls;
             match calls.get_mut(route) {
@@ -173,17 +196,26 @@
 impl RouteStats {
     /// True if a request has clearly less time left than other requests of the route had.
     fn is_shortened(&mut self, left: Duration) -> bool {
-        /// Callers round to a millisecond and may send a request slightly late.
-        const TOLERANCE: Duration = Duration::from_millis(2);
-
         self.longest_left = self.longest_left.max(left);
-        left + TOLERANCE < self.longest_left
+        left < self.longest_left.mul_f64(SHORTENED_SHARE)
+    }
+
+    fn record_request(&mut self, matched: &MatchedRun) {
+        self.requests += 1;
+        self.matched += u32::from(matched.route.is_some());
+        self.matched_by_chance += matched.by_chance;
+        if self.requests >= HALVING_COUNT {
+            self.requests /= 2;
+            self.matched /= 2;
+            self.matched_by_chance /= 2.0;
+            self.orphans /= 2;
+        }
     }
 
-    /// Whether requests of the route that enter here are calls of the local target; `None` while
-    /// too few of them were shortened. A retry of an external caller matches the deadline of a
-    /// run only by chance.
-    fn infer_is_call(&self) -> Option<bool> {
-        (self.shortened >= MIN_SHORTENED).then(|| 5 * self.shortened_of_runs > 3 * self.shortened)
+    /// True if enough of the requests match runs of the local target, and more than by chance.
+    fn matches_runs(&self) -> bool {
+        self.requests >= MIN_REQUESTS
+            && self.matched * MATCHED_DIVISOR >= self.requests
+            && f64::from(self.matched) >= self.matched_by_chance * CHANCE_FACTOR
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -93,7 +93,7 @@
 };
 pub use crate::children::ChildRetries;
 pub use crate::congestion_window::{CongestionWindows, WindowFull};
-pub use crate::dependencies::{RequestKind, RouteDependencies};
+pub use crate::dependencies::{MatchedRun, RequestKind, RouteDependencies};
 pub use crate::edge::EdgeRetries;
 pub use crate::fates::{Fates, SendKey};
 pub use crate::gate::Gate;
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -19,6 +19,11 @@
 const CERTAIN_LATE: Duration = Duration::from_micros(500);
 /// How much later than its run's deadline a call's deadline may appear at a busy daemon.
 const LIKELY_LATE: Duration = Duration::from_millis(60);
+/// Distance from a call's deadline at which the density of run deadlines is sampled: beyond the
+/// runs that match.
+const DENSITY_FROM: Duration = Duration::from_millis(5);
+/// Width of the sample, as a multiple of the width within which a match is certain.
+const DENSITY_WIDTHS: u32 = 10;
 
 /// A run and the properties that its calls inherit from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +77,17 @@
         self.nearest(deadline, CERTAIN_LATE, CERTAIN_EARLY)
     }
 
+    /// Returns the probability that [`certain_parent`](Runs::certain_parent) finds a run for a
+    /// request that no run made, estimated from the density of the run deadlines nearby.
+    #[must_use]
+    pub fn chance_match(&self, deadline: Instant) -> f64 {
+        let from = deadline + DENSITY_FROM;
+        let until = from + (CERTAIN_EARLY + CERTAIN_LATE) * DENSITY_WIDTHS;
+        let sampled = (from, RunKey::default())..(until, RunKey::default());
+        let count = u32::try_from(self.by_deadline.range(sampled).count()).unwrap_or(u32::MAX);
+        1.0 - (-f64::from(count) / f64::from(DENSITY_WIDTHS)).exp()
+    }
+
     /// Returns the run to which a call of a busy target most likely belongs.
     ///
     /// With `has_own_deadline`, the call expires before its run does, so that any run with a
--- a/crates/policy/tests/runs.rs
+++ b/crates/policy/tests/runs.rs
@@ -61,3 +61,22 @@
     let parent = runs.likely_parent(now + 700 * MS, true);
     assert_eq!(parent.map(|run| run.class), Some(Class::Standard));
 }
+
+#[test]
+fn a_match_by_chance_is_likelier_among_more_runs() {
+    let now = Instant::now();
+    let mut runs = Runs::default();
+    assert!(runs.chance_match(now).abs() < f64::EPSILON);
+    for n in 0..100 {
+        runs.begin(run(Class::Browse, now + 20 * n * MS));
+    }
+    let few = runs.chance_match(now + 500 * MS);
+    assert!((0.05..0.3).contains(&few), "{few}");
+    for n in 0..1_000 {
+        runs.begin(run(Class::Browse, now + 2 * n * MS));
+    }
+    let many = runs.chance_match(now + 500 * MS);
+    assert!((0.7..0.95).contains(&many), "{many}");
+    // No run expires after the last one.
+    assert!(runs.chance_match(now + 3_000 * MS).abs() < f64::EPSILON);
+}
--- a/crates/relay/src/origin_request.rs
+++ b/crates/relay/src/origin_request.rs
@@ -5,7 +5,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use model::Class;
-use policy::Run;
+use policy::{MatchedRun, Run};
 use routes::{Route, RouteTable};
 use smol_str::SmolStr;
 use tokio::time::Instant;
@@ -61,7 +61,10 @@
         let deadline = time_left.map(|left| (now + left).into_std());
         let runs = relay.runs.borrow();
         let certain_parent = deadline.and_then(|deadline| runs.certain_parent(deadline));
-        let parent_route = certain_parent.and_then(|run| relay.admission.route(run.operation));
+        let matched = MatchedRun {
+            route: certain_parent.and_then(|run| relay.admission.route(run.operation)),
+            by_chance: deadline.map_or(0.0, |deadline| runs.chance_match(deadline)),
+        };
         let candidates = || -> Vec<SmolStr> {
             let operations = deadline.map_or_else(Vec::new, |deadline| {
                 runs.possible_parent_operations(deadline)
@@ -70,14 +73,8 @@
             routes.flatten().collect()
         };
         let mut dependencies = relay.dependencies.borrow_mut();
-        let kind = dependencies.classify_request(
-            &route.name,
-            time_left,
-            parent_route.as_ref(),
-            candidates,
-        );
+        let kind = dependencies.classify_request(&route.name, time_left, &matched, candidates);
         let likely_parent = || runs.likely_parent(deadline?, !kind.is_shortened);
-        let certain_parent = certain_parent.filter(|_| kind.is_shortened);
         let parent = if kind.is_call {
             certain_parent.or_else(likely_parent)
         } else {
