--- a/crates/policy/tests/dependencies.rs
+++ b/crates/policy/tests/dependencies.rs
@@ -37,7 +37,7 @@
 ) -> bool {
     let mut is_call = false;
     for n in 0..200 {
-        let left = FULL - FULL / 7 * (n % 10) / 10;
+        let left = FULL * (70 - n % 10) / 70;
         let matched = if n % one_in == 0 {
             matching(parent, by_chance)
         } else {
@@ -159,7 +159,7 @@
     dependencies.set_reported(&route, ["returns".into()].into_iter(), true);
     let runs = [name("index")];
     for n in 0..300 {
-        let left = FULL - FULL / 7 * (n % 10) / 10;
+        let left = FULL * (70 - n % 10) / 70;
         let kind =
             dependencies.classify_request(&route, Some(left), &unmatched(0.05), || runs.to_vec());
         assert!(kind.is_call, "request {n}");
--- a/crates/policy/tests/patterns/deep_service.rs
+++ b/crates/policy/tests/patterns/deep_service.rs
@@ -306,7 +306,7 @@
             };
             target.controller.update(&load, run_time, in_force, at);
             // Each of them answers a call every few milliseconds.
-            if now % 4 == 0 {
+            if now.is_multiple_of(4) {
                 let share = target.controller.share();
                 self.reports.push_back((now + REPORT_DELAY_MS, share));
             }
