Read the store in a few daemons, and learn its states from them

Cause: every daemon kept a watch of its own on the configuration and read the list of targets when its word of it was old. Before traffic nothing is exchanged, so each of 195 daemons read for itself. Change: routes::Readers ranks the daemons by a hash of their address. The first of the fleet reads, two of each data centre ask it and watch the configuration, the others compare versions with these (GET /-/berylhead/view, which also brings admission shares to daemons without traffic). A daemon whose readers don't answer or have nothing newer reads by itself, at an age drawn below the bound for leaving targets. A start learns whom to ask from a read that may be stale (a tenth of the price), which is not used for requests. A daemon that can't read asks others. Non-readers can't see that the list was unreachable, so a gap of 2 s between two reads counts as an outage for the targets that are missing. A store that is restored from an older copy (Store-Era) gives out revisions again: the era goes above the revision, a watch from another era reads again, missing targets get the grace period, and reports older than the known ones bring back no target that is leaving or has left. FaultProxy sets SO_REUSEADDR: its closed connections at an address that a later test got made binding fail (seen twice, traced).

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -59,6 +59,7 @@
 pub use crate::header_names::HeaderNames;
 pub use crate::settings::{Bounds, Listen, Settings};
 pub use crate::source::{
-    Document, Parsers, PublishedState, Source, SourceError, SourceFuture, WatchResult,
+    Document, Parsers, PublishedState, RESTORATION_SHIFT, ReadMode, Source, SourceError,
+    SourceFuture, WatchResult,
 };
 pub use crate::start::run;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -132,6 +132,10 @@
     metrics.set_gauge("run_time_seconds", report.run_time.as_secs_f64());
     metrics.set_gauge("targets_age_seconds", view.stamp(now).age.as_secs_f64());
     let version = u32::try_from(view.stamp(now).table).unwrap_or(u32::MAX);
+    let targets = u32::try_from(view.targets.len()).unwrap_or(u32::MAX);
+    metrics.set_gauge("targets", f64::from(targets));
+    let is_reader = relay.readers.borrow().is_reader();
+    metrics.set_gauge("is_reader", f64::from(u8::from(is_reader)));
     metrics.set_gauge("configuration_version", f64::from(version));
     let mut text = Vec::new();
     TextEncoder::new()
--- a/crates/relay/src/piggyback.rs
+++ b/crates/relay/src/piggyback.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue};
 use model::{InstanceId, ServiceName};
 use policy::{AdmissionShare, Load};
+use routes::StampDiff;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 use wire::hop::{CALLED_BY_TARGETS, DOWNSTREAM_SERVICES, SERVICE_SHARES, TARGET_SHARE, VIEW};
@@ -89,7 +90,12 @@
     if relay.origins.borrow().is_called_by_targets(route) {
         headers.insert(CALLED_BY_TARGETS, HeaderValue::from_static("1"));
     }
-    text.clear();
+    write_service_shares(relay, headers);
+}
+
+/// Adds the admission shares of all known services to the headers of an answer.
+pub(crate) fn write_service_shares(relay: &Relay, headers: &mut HeaderMap) {
+    let mut text = String::new();
     let now = Instant::now().into_std();
     let shares = relay.shares.borrow();
     for (service, share, age) in shares.iter(now) {
@@ -115,15 +121,7 @@
 /// Removes the header that [`write_view_stamp`] added, and starts to fetch the states of which the
 /// other daemon holds a newer version.
 pub(crate) fn take_view_stamp(relay: &Rc<Relay>, from: SocketAddr, headers: &mut HeaderMap) {
-    let Some(value) = headers.remove(VIEW) else {
-        return;
-    };
-    let text = value.to_str().ok();
-    let Some(stamp) = text.and_then(|text| text.parse::<ViewStamp>().ok()) else {
-        log::debug!(from:%; "malformed view stamp ignored");
-        return;
-    };
-    let diff = relay.view.borrow_mut().merge_stamp(stamp, Instant::now());
+    let diff = merge_view_stamp(relay, from, headers);
     if diff.newer_table {
         pull::spawn_fetch(relay, from, PublishedState::Table);
     }
@@ -132,6 +130,24 @@
     }
 }
 
+/// Removes the header that [`write_view_stamp`] added, and returns what the other daemon has that
+/// this one lacks.
+pub(crate) fn merge_view_stamp(
+    relay: &Relay,
+    from: SocketAddr,
+    headers: &mut HeaderMap,
+) -> StampDiff {
+    let Some(value) = headers.remove(VIEW) else {
+        return StampDiff::default();
+    };
+    let text = value.to_str().ok();
+    let Some(stamp) = text.and_then(|text| text.parse::<ViewStamp>().ok()) else {
+        log::debug!(from:%; "malformed view stamp ignored");
+        return StampDiff::default();
+    };
+    relay.view.borrow_mut().merge_stamp(stamp, Instant::now())
+}
+
 /// Removes the admission share of the answering target from the headers of its answer. Daemons of
 /// earlier versions report none, which limits nothing.
 pub(crate) fn take_target_share(headers: &mut HeaderMap) -> AdmissionShare {
@@ -150,6 +166,11 @@
         let mut dependencies = relay.dependencies.borrow_mut();
         dependencies.set_reported(route, services, is_called_by_targets);
     }
+    take_service_shares(relay, headers);
+}
+
+/// Removes the header that [`write_service_shares`] added, and records its content.
+pub(crate) fn take_service_shares(relay: &Relay, headers: &mut HeaderMap) {
     let Some(value) = headers.remove(SERVICE_SHARES) else {
         return;
     };
--- a/crates/relay/src/pull.rs
+++ b/crates/relay/src/pull.rs
@@ -1,5 +1,5 @@
-//! Fetching a published state from another daemon that has a newer version of it, and serving
-//! such fetches.
+//! Fetching a published state from another daemon that has a newer version of it, comparing
+//! versions with a reader, and serving both.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,9 +9,11 @@
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
+use routes::StampDiff;
 use tokio::time::{Instant, timeout};
 
 use crate::payload::Payload;
+use crate::piggyback;
 use crate::relay::Relay;
 use crate::responses::status_only;
 use crate::source::{Document, PublishedState};
@@ -21,12 +23,55 @@
 const TABLE_PATH: &str = "/-/berylhead/table";
 /// Path of the target list that a daemon serves to other daemons.
 const TARGETS_PATH: &str = "/-/berylhead/targets";
+/// Path at which daemons compare the versions of the states that they hold.
+const VIEW_PATH: &str = "/-/berylhead/view";
 /// Header with the revision of the state in the response.
 const STATE_REVISION: HeaderName = HeaderName::from_static("berylhead-state-revision");
 /// Header with the time since the target list was read from the source, in milliseconds.
 const STATE_AGE: HeaderName = HeaderName::from_static("berylhead-state-age");
 /// Timeout of a fetch: several round trips over a slow link.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
+/// Timeout of a comparison: a connection and a round trip within a data centre, at a busy daemon.
+const COMPARE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Compares the held versions with another daemon, and fetches the states of which it holds a newer
+/// one.
+///
+/// # Errors
+///
+/// Returns why the daemon gave no usable answer.
+pub(crate) async fn compare(relay: &Rc<Relay>, with: SocketAddr) -> Result<(), &'static str> {
+    let diff = timeout(COMPARE_TIMEOUT, exchange_stamps(relay, with))
+        .await
+        .map_err(|_| "comparison timed out")??;
+    let states = [
+        (diff.newer_table, PublishedState::Table),
+        (diff.newer_targets, PublishedState::Targets),
+    ];
+    for (is_newer, state) in states {
+        let guard = is_newer.then(|| FetchGuard::try_begin(relay, state));
+        if let Some(Some(_guard)) = guard {
+            fetch_and_apply(relay, with, state).await;
+        }
+    }
+    Ok(())
+}
+
+async fn exchange_stamps(relay: &Relay, with: SocketAddr) -> Result<StampDiff, &'static str> {
+    let mut req = Request::get(VIEW_PATH);
+    if let Some(headers) = req.headers_mut() {
+        piggyback::write_view_stamp(relay, headers);
+    }
+    let mut reply = relay.connection_pool.send_to_daemon(with, req).await?;
+    if reply.head.status != StatusCode::NO_CONTENT {
+        return Err("response status is not 204");
+    }
+    let headers = &mut reply.head.headers;
+    piggyback::take_service_shares(relay, headers);
+    let diff = piggyback::merge_view_stamp(relay, with, headers);
+    relay.connection_pool.put_back(reply.connection, headers);
+    Ok(diff)
+}
 
 /// Fetches a state from another daemon in the background, unless a fetch of that state is
 /// already in progress.
@@ -37,17 +82,21 @@
     let relay = Rc::clone(relay);
     tokio::task::spawn_local(async move {
         let _guard = guard;
-        match timeout(FETCH_TIMEOUT, fetch(&relay, from, state)).await {
-            Ok(Ok((document, read_at))) => {
-                log::debug!(state:%, from:%, revision = document.revision; "state fetched");
-                sync::apply_document(&relay, state, document, read_at);
-            }
-            Ok(Err(error)) => log::debug!(state:%, from:%, error; "failed to fetch state"),
-            Err(_) => log::debug!(state:%, from:%; "state fetch timed out"),
-        }
+        fetch_and_apply(&relay, from, state).await;
     });
 }
 
+async fn fetch_and_apply(relay: &Relay, from: SocketAddr, state: PublishedState) {
+    match timeout(FETCH_TIMEOUT, fetch(relay, from, state)).await {
+        Ok(Ok((document, read_at))) => {
+            log::debug!(state:%, from:%, revision = document.revision; "state fetched");
+            sync::apply_document(relay, state, document, read_at);
+        }
+        Ok(Err(error)) => log::debug!(state:%, from:%, error; "failed to fetch state"),
+        Err(_) => log::debug!(state:%, from:%; "state fetch timed out"),
+    }
+}
+
 /// Marks the fetch of a state as in progress until it is dropped.
 struct FetchGuard {
     relay: Rc<Relay>,
@@ -108,11 +157,17 @@
     Ok((document, now.checked_sub(age).unwrap_or(now)))
 }
 
-/// Serves a fetch of another daemon; `None` if the request is not a fetch.
+/// Serves a fetch or a comparison of another daemon; `None` if the request is neither.
 pub(crate) fn serve(relay: &Relay, head: &Parts) -> Option<Response<Payload>> {
     if head.method != Method::GET {
         return None;
     }
+    if head.uri.path() == VIEW_PATH {
+        let mut res = status_only(StatusCode::NO_CONTENT);
+        piggyback::write_view_stamp(relay, res.headers_mut());
+        piggyback::write_service_shares(relay, res.headers_mut());
+        return Some(res);
+    }
     let view = relay.view.borrow();
     let document = match head.uri.path() {
         TABLE_PATH => view.table_document(),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,7 +11,7 @@
     AdmissionShares, Candidate, Fates, GateConfig, InstanceStatus, ResendBudget, RootAdmission,
     RouteDependencies, RouteOrigins, Router, RouterConfig, RoutingStrategy, Runs,
 };
-use routes::{RouteTable, Target, TargetState, Targets, WeightedRoundRobin};
+use routes::{Readers, RouteTable, Target, TargetState, Targets, WeightedRoundRobin};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -80,6 +80,10 @@
     /// Set to true when each connection is to close after its current answer.
     pub(crate) disconnect: watch::Sender<bool>,
     pub(crate) view: RefCell<View>,
+    /// Daemons that read the published states; unknown until a target list is.
+    pub(crate) readers: RefCell<Readers>,
+    /// When another daemon last answered a comparison of versions.
+    pub(crate) last_compared: Cell<Option<Instant>>,
     /// Parsers of the published states.
     pub(crate) parse: Parsers,
     /// States for which a fetch from another daemon is in progress.
@@ -113,6 +117,8 @@
             connections: Cell::new(0),
             disconnect: watch::Sender::new(false),
             view: RefCell::new(View::default()),
+            readers: RefCell::new(Readers::default()),
+            last_compared: Cell::new(None),
             parse,
             fetching: RefCell::new(HashSet::new()),
             services: RefCell::new(HashMap::new()),
@@ -182,6 +188,7 @@
         self.daemon_locations
             .replace(DaemonLocations::from_targets(&view.targets));
         drop(view);
+        self.set_readers(&self.view.borrow().targets);
         let daemon_locations = self.daemon_locations.borrow();
         self.known_daemons
             .retain(|daemon| daemon_locations.by_ip.contains_key(&daemon.ip()));
@@ -193,6 +200,15 @@
         }
     }
 
+    /// Determines the readers from a target list.
+    pub(crate) fn set_readers(&self, targets: &Targets) {
+        let readers = Readers::of(targets, &self.cfg.data_centre, self.cfg.target.ip());
+        let is_reader = readers.is_reader();
+        if self.readers.replace(readers).is_reader() != is_reader {
+            log::info!(is_reader; "reader role changed");
+        }
+    }
+
     /// Calls `f` with the state of a service, which is created on first use.
     pub(crate) fn with_service<T>(
         &self,
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -19,11 +19,16 @@
     Targets,
 }
 
+/// Lowest bit of a revision that counts how often the source was restored from an older copy of
+/// itself. The source counts its own revisions anew from that copy, so they are lower then.
+pub const RESTORATION_SHIFT: u32 = 40;
+
 /// A published state at one revision of the source.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Document {
-    /// Revision of the source at which the document was read. A document replaces those of
-    /// lower revisions, and a watch resumes from its revision.
+    /// Revision of the source at which the document was read, plus the number of its restorations
+    /// shifted by [`RESTORATION_SHIFT`]. A document replaces those of lower revisions, and a watch
+    /// resumes from its revision.
     pub revision: u64,
     /// The state, encoded as it was published.
     pub bytes: Bytes,
@@ -66,8 +71,17 @@
 
 /// A pending request to the source. Dropping it closes its connection.
 pub type SourceFuture<T> = LocalBoxFuture<'static, Result<T, SourceError>>;
+/// How current the result of a read has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadMode {
+    /// The state at the time of the read.
+    Current,
+    /// The state of some seconds ago, which costs the source less.
+    MaybeStale,
+}
+
 /// Reads a state; `None` if it has not been published yet.
-pub type ReadFn = Box<dyn Fn(PublishedState) -> SourceFuture<Option<Document>>>;
+pub type ReadFn = Box<dyn Fn(PublishedState, ReadMode) -> SourceFuture<Option<Document>>>;
 /// Waits for a change of the configuration after the given revision, at most for the given
 /// time.
 pub type WatchFn = Box<dyn Fn(u64, Duration) -> SourceFuture<WatchResult>>;
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -1,26 +1,37 @@
 //! Tasks that keep the published states up to date by reading the source.
 
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+use routes::Readers;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::pull;
 use crate::relay::Relay;
-use crate::source::{Document, PublishedState, Source, SourceError, WatchResult};
+use crate::source::{
+    Document, PublishedState, ReadMode, Source, SourceError, SourceFuture, WatchResult,
+};
 use crate::view::UpdateResult;
 
-/// Time for which the source holds a watch open without a change.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time for which the source holds a watch open without a change. A connection that went silent
+/// shows only after that time.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Timeout of a response of the source, beyond the time that it was asked to wait, as a
 /// fraction of the bound for applying a new configuration. The rest of the bound leaves time
 /// for a second attempt.
 const RESPONSE_TIMEOUT_FRACTION: f64 = 0.5;
-/// Age of the target list at which this daemon reads the list itself, as a fraction of the
-/// drain bound; the rest of the bound is for the read and for the propagation to other
-/// daemons. Each time a fraction between the minimum and the maximum is drawn at random, so
-/// that usually a single daemon reads the list and the others fetch it from that daemon.
-const MIN_TARGETS_AGE_FRACTION: f64 = 0.3;
-const MAX_TARGETS_AGE_FRACTION: f64 = 0.6;
+/// Interval at which readers that had nothing newer are asked again.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Daemons that are asked when the source can't be read.
+const PEERS_ASKED: usize = 2;
+/// Interval at which a daemon that is no reader checks whether it has become one.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without an answer of any reader after which a daemon reads a first state itself.
+const READER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which it does so although readers answer, as they may be cut off from the source.
+const MAX_READER_WAIT: Duration = Duration::from_secs(5);
 /// Initial and maximum delay before a retry after a failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
@@ -34,8 +45,14 @@
     }
 
     async fn wait(&mut self) {
-        sleep(self.0.mul_f64(rand::random_range(0.5..1.0))).await;
+        sleep(self.next()).await;
+    }
+
+    /// Returns the next delay.
+    fn next(&mut self) -> Duration {
+        let delay = self.0.mul_f64(rand::random_range(0.5..1.0));
         self.0 = (self.0 * 2).min(MAX_BACKOFF);
+        delay
     }
 }
 
@@ -66,13 +83,18 @@
     }
 }
 
-/// Keeps the configuration up to date: reads it, then watches it for changes.
+/// Keeps the configuration up to date: a reader reads it, then watches it for changes; the other
+/// daemons learn of changes from the readers.
 pub(crate) async fn follow_table(relay: Rc<Relay>, source: Rc<Source>) {
     let mut reachability = SourceReachability::new(PublishedState::Table);
     let mut backoff = Backoff::new();
-    let mut after = None;
     let limit = response_timeout(&relay);
+    let mut after = None;
     loop {
+        if wait_for_reader_role(&relay).await == WaitResult::BecameReader {
+            // A watch continues from the configuration that another daemon read.
+            after = relay.view.borrow().table_document().map(|(rev, _)| rev);
+        }
         let result = match after {
             None => read_table(&source, limit).await,
             Some(after) => {
@@ -100,6 +122,36 @@
     }
 }
 
+/// Result of [`wait_for_reader_role`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitResult {
+    /// The daemon was a reader already, or has no configuration yet.
+    Unchanged,
+    /// It has become a reader.
+    BecameReader,
+}
+
+/// Waits until this daemon has to read the configuration itself.
+async fn wait_for_reader_role(relay: &Relay) -> WaitResult {
+    let began = Instant::now();
+    let mut result = WaitResult::Unchanged;
+    while !relay.readers.borrow().is_reader() {
+        if relay.table().is_none() && readers_are_overdue(relay, began) {
+            return WaitResult::Unchanged;
+        }
+        result = WaitResult::BecameReader;
+        sleep(ROLE_CHECK_INTERVAL).await;
+    }
+    result
+}
+
+/// True if a daemon that has waited for a first state since `began` is to read it itself: no reader
+/// has answered for some time, or those that answer have none either.
+fn readers_are_overdue(relay: &Relay, began: Instant) -> bool {
+    let answered = relay.last_compared.get().map_or(began, |at| at.max(began));
+    answered.elapsed() >= READER_TIMEOUT || began.elapsed() >= MAX_READER_WAIT
+}
+
 /// Timeout of a response of the source, beyond the time that it was asked to wait.
 fn response_timeout(relay: &Relay) -> Duration {
     relay
@@ -110,7 +162,11 @@
 }
 
 async fn read_table(source: &Source, limit: Duration) -> Result<WatchResult, SourceError> {
-    let read = with_timeout(limit, (source.read)(PublishedState::Table)).await?;
+    let read = with_timeout(
+        limit,
+        (source.read)(PublishedState::Table, ReadMode::Current),
+    )
+    .await?;
     Ok(read.map_or(WatchResult::HistoryGone, WatchResult::Changed))
 }
 
@@ -128,43 +184,124 @@
     }
 }
 
-/// Keeps the target list up to date by reading it whenever it is stale.
+/// Keeps the target list up to date: a reader reads it whenever it is stale; the other daemons ask
+/// the readers, and read it themselves if these have none that is newer.
 pub(crate) async fn follow_targets(relay: Rc<Relay>, source: Rc<Source>) {
     let mut reachability = SourceReachability::new(PublishedState::Targets);
     let mut backoff = Backoff::new();
+    let mut next_read = Instant::now();
     let limit = response_timeout(&relay);
+    find_readers(&relay, &source, limit).await;
+    let began = Instant::now();
     loop {
-        wait_until_stale(&relay).await;
-        let began = Instant::now();
-        match with_timeout(limit, (source.read)(PublishedState::Targets)).await {
+        let readers = relay.readers.borrow().clone();
+        let ages = readers.ages(relay.cfg.bounds.drain, rand::random());
+        wait_until_behind(&relay, &readers, ages.ask).await;
+        ask(&relay, &readers.to_ask(), ages.ask).await;
+        if !is_older(&relay, ages.ask) {
+            sleep(ROLE_CHECK_INTERVAL).await;
+            continue;
+        }
+        let now = Instant::now();
+        let is_due = if relay.view.borrow().targets_read_at().is_some() || readers.is_reader() {
+            is_older(&relay, ages.read)
+        } else {
+            readers_are_overdue(&relay, began)
+        };
+        if !is_due || now < next_read {
+            sleep(ASK_INTERVAL).await;
+            continue;
+        }
+        match with_timeout(limit, read_targets(&source, ReadMode::Current)).await {
             Ok(document) => {
                 reachability.record_success();
                 backoff = Backoff::new();
                 if let Some(document) = document {
-                    apply_document(&relay, PublishedState::Targets, document, began);
+                    apply_document(&relay, PublishedState::Targets, document, now);
+                }
+                if !readers.is_reader() {
+                    // The readers may be cut off, so they may also lack a newer configuration.
+                    read_table_once(&relay, &source, limit).await;
                 }
             }
             Err(error) => {
                 reachability.record_failure(&error);
                 relay.view.borrow_mut().mark_targets_unreachable();
-                backoff.wait().await;
+                next_read = Instant::now() + backoff.next();
+                ask(&relay, &random_peers(&relay), ages.ask).await;
             }
         }
     }
 }
 
-/// Waits until the target list is old enough to be read by this daemon.
-async fn wait_until_stale(relay: &Relay) {
-    let fraction = rand::random_range(MIN_TARGETS_AGE_FRACTION..MAX_TARGETS_AGE_FRACTION);
-    let max_age = relay.cfg.bounds.drain.mul_f64(fraction);
-    loop {
-        let Some(read_at) = relay.view.borrow().targets_read_at() else {
-            return;
-        };
-        if read_at.elapsed() >= max_age {
+/// Finds out whom to ask for a first target list. A list that may be stale suffices for that, but
+/// not for requests.
+async fn find_readers(relay: &Relay, source: &Source, limit: Duration) {
+    let mut backoff = Backoff::new();
+    while relay.readers.borrow().is_unknown() {
+        match with_timeout(limit, read_targets(source, ReadMode::MaybeStale)).await {
+            Ok(Some(document)) => match (relay.parse.targets)(&document.bytes) {
+                Ok(targets) => relay.set_readers(&targets),
+                Err(error) => log::error!(error:%; "published state refused"),
+            },
+            Ok(None) => {}
+            Err(error) => log::info!(error:%; "store not reachable yet"),
+        }
+        if relay.readers.borrow().is_unknown() {
+            backoff.wait().await;
+        }
+    }
+}
+
+fn read_targets(source: &Source, mode: ReadMode) -> SourceFuture<Option<Document>> {
+    (source.read)(PublishedState::Targets, mode)
+}
+
+/// Asks other daemons, one after the other, until the target list is younger than `age`.
+async fn ask(relay: &Rc<Relay>, daemons: &[IpAddr], age: Duration) {
+    for ip in daemons {
+        let daemon = SocketAddr::new(*ip, relay.cfg.listen.mesh.port());
+        match pull::compare(relay, daemon).await {
+            Ok(()) => relay.last_compared.set(Some(Instant::now())),
+            Err(error) => log::debug!(daemon:%, error; "daemon did not answer"),
+        }
+        if !is_older(relay, age) {
             return;
         }
-        sleep_until(read_at + max_age).await;
+    }
+}
+
+/// Draws daemons to ask when the source can't be read: the readers may be cut off from it as well.
+fn random_peers(relay: &Relay) -> Vec<IpAddr> {
+    let view = relay.view.borrow();
+    let others = view.targets.iter().map(|target| target.address.ip());
+    let others = others.filter(|ip| *ip != relay.cfg.target.ip());
+    others.choose_multiple(&mut rand::rng(), PEERS_ASKED)
+}
+
+/// Reads the configuration on behalf of a daemon that is no reader.
+async fn read_table_once(relay: &Relay, source: &Source, limit: Duration) {
+    match read_table(source, limit).await {
+        Ok(watched) => {
+            apply_watch_result(relay, watched);
+        }
+        Err(error) => log::debug!(error:%; "failed to read the configuration"),
+    }
+}
+
+/// True if there is no target list or it was read at least `age` ago.
+fn is_older(relay: &Relay, age: Duration) -> bool {
+    let read_at = relay.view.borrow().targets_read_at();
+    read_at.is_none_or(|read_at| read_at.elapsed() >= age)
+}
+
+/// Waits until the target list is older than `age`. Returns at once if there is none, or if readers
+/// may have a configuration and this daemon has none.
+async fn wait_until_behind(relay: &Relay, readers: &Readers, age: Duration) {
+    while !is_older(relay, age) && (relay.table().is_some() || readers.is_reader()) {
+        let read_at = relay.view.borrow().targets_read_at();
+        let Some(read_at) = read_at else { return };
+        sleep_until(read_at + age).await;
     }
 }
 
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use wire::ViewStamp;
 
-use crate::source::Document;
+use crate::source::{Document, RESTORATION_SHIFT};
 
 /// The published states that this daemon holds: the configuration and the target list.
 #[derive(Default)]
@@ -62,6 +62,13 @@
         }
         let digest = listed.digest();
         let read_at = read_at.into_std();
+        let restorations = |revision: u64| revision >> RESTORATION_SHIFT;
+        let known = self.freshness.targets_revision();
+        if self.targets_document.is_some() && restorations(document.revision) > restorations(known)
+        {
+            log::warn!(revision = document.revision; "store restored from an older copy");
+            self.active_targets.mark_restored(read_at);
+        }
         self.freshness
             .set_targets(document.revision, digest, read_at);
         self.targets_document = Some(document);
--- a/crates/routes/src/active_targets.rs
+++ b/crates/routes/src/active_targets.rs
@@ -13,6 +13,13 @@
 /// The platform states about 2 s for the entry to reappear; reading it may take another 500 ms.
 const RETURN_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Time between two reads from which the list counts as having been unreachable: entries expire only
+/// after several reports are missing.
+const OUTAGE_GAP: Duration = Duration::from_secs(2);
+/// Time for which the last report of a removed target is remembered, longer than the age of a copy
+/// from which the list may be restored.
+const REMOVED_RETENTION: Duration = Duration::from_mins(1);
+
 /// Targets that are assumed to be running.
 ///
 /// A target that is no longer listed is removed. If its entry may have expired because the list
@@ -22,7 +29,28 @@
     present: HashMap<InstanceId, Target>,
     /// Ids in `present` that the latest list does not contain.
     missing: HashSet<InstanceId>,
+    /// Removed targets with the last report of each and the time of its removal.
+    removed: HashMap<InstanceId, (Report, Instant)>,
     reachability: Reachability,
+    last_read: Option<Instant>,
+    /// When the list was last restored from an older copy.
+    restored: Option<Instant>,
+}
+
+/// Order of the reports of one target: by its start, then by their number since the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Report {
+    started_ms: u64,
+    count: u64,
+}
+
+impl Report {
+    fn of(target: &Target) -> Self {
+        Report {
+            started_ms: target.started_ms,
+            count: target.report_count,
+        }
+    }
 }
 
 /// Whether the target list can be read.
@@ -43,8 +71,16 @@
         self.reachability = Reachability::Unreachable;
     }
 
+    /// Records that the list was restored from an older copy. Until all reports have been written
+    /// again, targets may be missing there, and one that is leaving or has left may be ready.
+    pub fn mark_restored(&mut self, now: Instant) {
+        self.mark_unreachable();
+        self.restored = Some(now);
+    }
+
     /// Records that this daemon or another one read the list.
     pub fn mark_reachable(&mut self, now: Instant) {
+        self.last_read = Some(self.last_read.map_or(now, |at| at.max(now)));
         self.reachability = match self.reachability {
             Reachability::Unreachable => Reachability::Recovering { since: now },
             Reachability::Recovering { since }
@@ -58,12 +94,24 @@
 
     /// Applies a newly read list. Returns `true` if the set of targets changed, or a target in
     /// more than the fields that change with every report.
+    ///
+    /// After a restoration, a report that is older than the last known one changes nothing.
     pub fn update(&mut self, listed: &Targets, now: Instant) -> bool {
+        let gap = self.last_read.map(|at| now.saturating_duration_since(at));
+        if gap.is_some_and(|gap| gap >= OUTAGE_GAP) {
+            self.mark_unreachable();
+        }
+        self.last_read = Some(now);
+        self.removed
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < REMOVED_RETENTION);
         self.mark_reachable(now);
         let unlisted = |id: &&InstanceId| listed.get(id).is_none();
         self.missing = self.present.keys().filter(unlisted).cloned().collect();
         let mut changed = self.expire(now);
         for target in listed.iter() {
+            if self.is_outdated(target, now) {
+                continue;
+            }
             let known = self.present.insert(target.id.clone(), target.clone());
             changed |= known.is_none_or(|known| differs(&known, target));
         }
@@ -84,11 +132,29 @@
             return false;
         }
         for id in self.missing.drain() {
-            self.present.remove(&id);
+            if let Some(target) = self.present.remove(&id) {
+                self.removed.insert(id, (Report::of(&target), now));
+            }
         }
         true
     }
 
+    /// True if the list was restored and a newer report of the target is known, or it was removed
+    /// after this report.
+    fn is_outdated(&self, target: &Target, now: Instant) -> bool {
+        let restored = |at: Instant| now.saturating_duration_since(at) < REMOVED_RETENTION;
+        if !self.restored.is_some_and(restored) {
+            return false;
+        }
+        let report = Report::of(target);
+        let known = self.present.get(&target.id);
+        known.is_some_and(|known| report < Report::of(known))
+            || self
+                .removed
+                .get(&target.id)
+                .is_some_and(|(last, _)| report <= *last)
+    }
+
     /// Iterates over all targets in use.
     pub fn iter(&self) -> impl Iterator<Item = &Target> {
         self.present.values()
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -33,12 +33,14 @@
 * [`round_robin`]: weighted distribution of a route's requests among services
 * [`freshness`]: versions and age of the configuration and the target list
 * [`active_targets`]: targets in use, also while the list cannot be read
+* [`readers`]: which daemons read the platform, and whom the others ask
 * [`target`]: registered targets
 */
 #![deny(missing_docs)]
 
 pub mod active_targets;
 pub mod freshness;
+pub mod readers;
 pub mod round_robin;
 pub mod route;
 pub mod table;
@@ -46,6 +48,7 @@
 
 pub use crate::active_targets::ActiveTargets;
 pub use crate::freshness::{Freshness, StampDiff};
+pub use crate::readers::{READERS, ReadAges, Readers};
 pub use crate::round_robin::WeightedRoundRobin;
 pub use crate::route::{Idempotency, Limits, Route, Service, Share};
 pub use crate::table::{RouteKey, RouteTable};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -67,6 +67,6 @@
 pub use crate::proxy::{Direction, FaultProxy, Faults};
 pub use crate::random::ServiceTime;
 pub use crate::scripted_target::{Action, ReceivedRequest, ScriptedTarget};
-pub use crate::store::{Store, StoreMode};
+pub use crate::store::{Store, StoreCopy, StoreMode};
 pub use crate::tally::{Record, Report, Second, Tally};
 pub use crate::target::{Health, Target};
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -213,6 +213,8 @@
 fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseport(true)?;
+    // Connections of an earlier test at this address may still wait for their end.
+    socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     Ok(socket)
 }
