Cost targets that answer errors more than others do

Cause: an answer with an error status counted as an answer, so a target that fails all its calls at once while its health check is good looked idle and fast. Change: the router keeps a slow rate of error answers for each target; what exceeds the lowest rate of the service by 0.15 costs like failures. A target's own 504 does not count.

--- a/crates/policy/src/candidate.rs
+++ b/crates/policy/src/candidate.rs
@@ -92,6 +92,8 @@
 pub enum CallOutcome {
     /// The target answered.
     Answered,
+    /// The target answered that it failed, which may also be the fault of a call that it made.
+    ServerError,
     /// The instance's daemon refused the call.
     NotRun(RefusalReason),
     /// The target refused the call.
@@ -108,7 +110,7 @@
     /// Whether the instance failed the call; `None` if the outcome tells nothing about the instance.
     pub(crate) fn is_failure(self) -> Option<bool> {
         match self {
-            CallOutcome::Answered => Some(false),
+            CallOutcome::Answered | CallOutcome::ServerError => Some(false),
             CallOutcome::NotRun(reason) => reason.is_instance_unavailable().then_some(true),
             CallOutcome::TargetRefused | CallOutcome::Unknown | CallOutcome::TimedOut => Some(true),
             CallOutcome::Cancelled => None,
--- a/crates/policy/src/cost.rs
+++ b/crates/policy/src/cost.rs
@@ -35,19 +35,24 @@
     /// never be tried.
     min_run_us: u64,
     limit: u32,
+    /// Lowest error rate of an instance that has answered recently, in thousandths.
+    min_error_rate: u64,
 }
 
 impl ServiceAverages {
     /// Averages what the instances have reported.
-    pub(crate) fn of<'a>(instances: impl Iterator<Item = &'a Instance>) -> Self {
+    pub(crate) fn of<'a>(instances: impl Iterator<Item = &'a Instance>, now: Instant) -> Self {
         let (mut runs, mut run_sum, mut limits, mut limit_sum) = (0, 0, 0, 0);
-        let mut min_run = None;
+        let (mut min_run, mut min_error_rate) = (None, None);
         for instance in instances {
             if let Some(run) = instance.run_time {
                 runs += 1;
                 run_sum += micros(run);
                 min_run = Some(min_run.map_or(run, |min: Duration| min.min(run)));
             }
+            if let Some(rate) = instance.error_rate.recent(now) {
+                min_error_rate = Some(min_error_rate.map_or(rate, |min: u64| min.min(rate)));
+            }
             if let Some(load) = instance.last_load() {
                 limits += 1;
                 limit_sum += load.limit;
@@ -63,6 +68,7 @@
                 .checked_div(limits)
                 .unwrap_or(DEFAULT_LIMIT)
                 .max(1),
+            min_error_rate: min_error_rate.unwrap_or(0),
         }
     }
 
@@ -116,7 +122,54 @@
         + remote_us
         + unresponsive_us
         + excess_us
-        + failure_cost_us * failure_score / THOUSAND
+        + failure_cost_us
+            * (failure_score + instance.error_rate.excess(averages.min_error_rate, now))
+            / THOUSAND
+}
+
+/// Slowly decaying rate of the answers by which an instance reports that it failed, in thousandths.
+///
+/// All instances of a service fail when a service that they call does. So an instance costs more
+/// only by how far its rate exceeds the lowest one.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ErrorRate {
+    thousandths: u64,
+    at: Option<Instant>,
+}
+
+/// Difference from the lowest rate up to which errors cost nothing: the averages differ by chance.
+const ERROR_RATE_MARGIN: u64 = 150;
+/// Age of an answer up to which an instance's rate counts for the lowest one.
+const RECENT_ANSWER: Duration = Duration::from_secs(1);
+/// Time in which the rate halves while no call is answered, after which the instance is tried again.
+const ERROR_HALF_LIFE: Duration = Duration::from_millis(1_500);
+
+impl ErrorRate {
+    /// Moves the rate a sixteenth of the way to the kind of an answer.
+    pub(crate) fn record(&mut self, is_error: bool, now: Instant) {
+        let before = self.thousandths(now);
+        let sample = if is_error { THOUSAND } else { 0 };
+        self.thousandths = (15 * before + sample).div_ceil(16);
+        self.at = Some(now);
+    }
+
+    /// Rate as of the last answer; `None` if that was too long ago.
+    fn recent(self, now: Instant) -> Option<u64> {
+        let at = self.at?;
+        (now.saturating_duration_since(at) < RECENT_ANSWER).then_some(self.thousandths)
+    }
+
+    /// Rate beyond the lowest one of the service, in thousandths.
+    fn excess(self, lowest: u64, now: Instant) -> u64 {
+        self.thousandths(now)
+            .saturating_sub(lowest + ERROR_RATE_MARGIN)
+    }
+
+    fn thousandths(self, now: Instant) -> u64 {
+        let Some(at) = self.at else { return 0 };
+        let age = now.saturating_duration_since(at);
+        decayed(self.thousandths, age, ERROR_HALF_LIFE)
+    }
 }
 
 /// Decaying average of an instance's recent failures, in thousandths: 0 without failures, 1000 if
--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -5,7 +5,7 @@
 use model::{Class, DataCentre, InstanceId};
 
 use crate::candidate::{Candidate, InstanceStatus};
-use crate::cost::FailureScore;
+use crate::cost::{ErrorRate, FailureScore};
 use crate::eject::{FULL_SHARE, Health};
 use crate::load::Load;
 use crate::scale::{decayed, ewma, micros};
@@ -53,6 +53,7 @@
     /// Mean run time, as reported by the instance.
     pub(crate) run_time: Option<Duration>,
     pub(crate) failure_score: FailureScore,
+    pub(crate) error_rate: ErrorRate,
 }
 
 impl Instance {
@@ -73,6 +74,7 @@
             last_activity: None,
             run_time: None,
             failure_score: FailureScore::default(),
+            error_rate: ErrorRate::default(),
         }
     }
 
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -121,7 +121,14 @@
             instance.failure_score.record(failed, now);
         }
         match outcome {
-            CallOutcome::Answered => instance.record_answer(latency, now),
+            CallOutcome::Answered => {
+                instance.error_rate.record(false, now);
+                instance.record_answer(latency, now);
+            }
+            CallOutcome::ServerError => {
+                instance.error_rate.record(true, now);
+                instance.record_answer(latency, now);
+            }
             CallOutcome::NotRun(RefusalReason::Leaving) => {
                 instance.mark_leaving(now);
                 let at = now + self.cfg.leaving_ttl;
@@ -306,7 +313,7 @@
         }
         let at = self.rng.random_range(0..FULL_SHARE);
         let instances = &self.instances;
-        let averages = ServiceAverages::of(instances.values());
+        let averages = ServiceAverages::of(instances.values(), call.now);
         let best = |by_share: bool| {
             candidates
                 .iter()
--- a/crates/policy/tests/patterns/fleet.rs
+++ b/crates/policy/tests/patterns/fleet.rs
@@ -36,6 +36,8 @@
     DelaysAnswers(u64),
     /// Refuses one in this many calls immediately and runs the others.
     RefusesOneIn(u64),
+    /// Answers each call immediately that it failed.
+    AnswersErrors,
 }
 
 /// Results of the calls that arrived in a period.
@@ -45,6 +47,8 @@
     pub(crate) in_time: u32,
     /// First attempts, by target.
     pub(crate) sends: [u32; TARGETS],
+    /// First attempts in the data centre of the caller.
+    pub(crate) local_sends: u32,
 }
 
 impl Tally {
@@ -137,6 +141,7 @@
             let target = target_of(&self.routers[caller], key);
             if tried.is_empty() {
                 self.tally(now).sends[target] += 1;
+                self.tally(now).local_sends += u32::from(target == caller % TARGETS);
             }
             tried.push(key);
             let refused = match behaviour(target, now) {
@@ -148,6 +153,13 @@
                 self.routers[caller].finish(key, outcome, Duration::ZERO, None, at);
                 continue;
             }
+            if behaviour(target, now) == Behaviour::AnswersErrors {
+                let router = &mut self.routers[caller];
+                router.report_run_time(key, Duration::from_millis(1));
+                let latency = Duration::from_millis(1);
+                router.finish(key, CallOutcome::ServerError, latency, None, at);
+                return;
+            }
             self.queues[target].push_back(Call {
                 caller,
                 key,
@@ -176,7 +188,7 @@
             Behaviour::Unresponsive => return,
             Behaviour::Runs(ms) => (ms, 0),
             Behaviour::DelaysAnswers(ms) => (RUN_MS, ms),
-            Behaviour::RefusesOneIn(_) => (RUN_MS, 0),
+            Behaviour::RefusesOneIn(_) | Behaviour::AnswersErrors => (RUN_MS, 0),
         };
         let is_done = |call: &mut Call| call.ends.is_some_and(|ends| ends <= now);
         let done: Vec<Call> = self.running[target].extract_if(.., is_done).collect();
@@ -242,6 +254,7 @@
     for second in tallies {
         sum.arrived += second.arrived;
         sum.in_time += second.in_time;
+        sum.local_sends += second.local_sends;
         for (sum, sends) in sum.sends.iter_mut().zip(second.sends) {
             *sum += sends;
         }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -423,6 +423,12 @@
 
 fn call_outcome(outcome: &ForwardOutcome) -> CallOutcome {
     match outcome {
+        // A target's own 504 says that the time was too short.
+        ForwardOutcome::Answered { head, .. }
+            if head.status.is_server_error() && head.status != StatusCode::GATEWAY_TIMEOUT =>
+        {
+            CallOutcome::ServerError
+        }
         ForwardOutcome::Answered { .. } => CallOutcome::Answered,
         ForwardOutcome::NotRun {
             at_target: true, ..
