Break off the answer of a target that never ends

Cause: an answer over 512 KiB is streamed, and nothing bounded how long: bytes without end held a slot of the target, two connections and the caller until the caller closed. Change: the daemon beside the target breaks a streamed answer off 5 s after the request's deadline; it does not look complete then. A head without end was refused by hyper's limit already, answered 502, and the connection is closed.

--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -22,6 +22,10 @@
 /// Retry delay of a request that the local target can't run or refuses, such as when it is leaving.
 const LOCAL_REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Time after its deadline at which an answer that is still being streamed is broken off: a slow
+/// caller may still be reading.
+const STREAM_OVERRUN: Duration = Duration::from_secs(5);
+
 /// Outcome of a forwarded request.
 pub(crate) enum ForwardOutcome {
     /// The target answered the request.
@@ -134,7 +138,7 @@
             repeated: hop.attempt > 0,
         },
     );
-    let outcome = send(relay, forward, slot, run).await;
+    let outcome = send(relay, forward, deadline, slot, run).await;
     if matches!(outcome, ForwardOutcome::NotRun { .. }) {
         relay.fates.borrow_mut().refused(SendKey(hop.send_id));
     }
@@ -174,6 +178,7 @@
 async fn send(
     relay: &Rc<Relay>,
     forward: ForwardedRequest,
+    deadline: Instant,
     slot: Slot,
     run: RunGuard,
 ) -> ForwardOutcome {
@@ -228,6 +233,7 @@
     }
     let answer_headers = head.headers.clone();
     strip_hop_by_hop(&mut head.headers);
+    body.set_expiry(deadline + STREAM_OVERRUN);
     if body.keep_until_end(Box::new(InFlightGuard::new(relay))) {
         body.keep_until_end(Box::new((connection, run, slot)));
     } else {
--- a/crates/relay/src/payload.rs
+++ b/crates/relay/src/payload.rs
@@ -4,9 +4,11 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error, From};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Bodies smaller than this size in bytes are buffered, so that a request can be resent and a
 /// response that breaks off is detected before any of it is forwarded. Larger bodies are
@@ -21,11 +23,25 @@
     Streamed {
         prefix: Bytes,
         rest: Incoming,
+        /// When the body is broken off.
+        expiry: Option<Pin<Box<Sleep>>>,
         /// Dropped when the body has ended.
         guards: BodyGuards,
     },
 }
 
+/// Why a streamed body ended early.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum BodyError {
+    /// The sender broke it off.
+    #[display("body broke off: {_0}")]
+    Broken(hyper::Error),
+    /// It had not ended in time.
+    #[display("body did not end in time")]
+    #[from(skip)]
+    Expired,
+}
+
 /// Values that are held while a body is transferred: slots, connections, counters.
 pub(crate) type BodyGuards = Vec<Box<dyn std::any::Any>>;
 
@@ -71,9 +87,18 @@
         Ok(Payload::Streamed {
             prefix: prefix.into_bytes(),
             rest: body,
+            expiry: None,
             guards: BodyGuards::new(),
         })
     }
+
+    /// Breaks a streamed body off if it has not ended by `at`. The body of a faulty target may never
+    /// end.
+    pub(crate) fn set_expiry(&mut self, at: Instant) {
+        if let Payload::Streamed { expiry, .. } = self {
+            *expiry = Some(Box::pin(sleep_until(at)));
+        }
+    }
 }
 
 /// Concatenates the chunks of a body; a single chunk is not copied.
@@ -111,20 +136,25 @@
 
 impl Body for Payload {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Payload::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
             Payload::Buffered(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Payload::Streamed {
                 prefix,
                 rest,
+                expiry,
                 guards,
             } => {
+                let is_expired = |expiry: &mut Pin<Box<Sleep>>| expiry.as_mut().poll(cx).is_ready();
+                if expiry.as_mut().is_some_and(is_expired) {
+                    return Poll::Ready(Some(Err(BodyError::Expired)));
+                }
                 if !prefix.is_empty() {
                     return Poll::Ready(Some(Ok(Frame::data(std::mem::take(prefix)))));
                 }
@@ -132,7 +162,7 @@
                 if frame.is_none() {
                     guards.clear();
                 }
-                Poll::Ready(frame)
+                Poll::Ready(frame.map(|frame| frame.map_err(BodyError::Broken)))
             }
         }
     }
--- a/crates/standin/src/scripted_target.rs
+++ b/crates/standin/src/scripted_target.rs
@@ -35,6 +35,8 @@
     Write(Vec<u8>),
     /// Writes these bytes and closes the connection.
     WriteAndClose(Vec<u8>),
+    /// Writes these bytes, then the others again and again until the client closes the connection.
+    WriteEndlessly(Vec<u8>, Vec<u8>),
     /// Sends no response; the connection stays open until the client closes it.
     Hang,
 }
@@ -160,6 +162,12 @@
                 stream.write_all(&bytes).await?;
                 return Ok(());
             }
+            Action::WriteEndlessly(start, repeated) => {
+                stream.write_all(&start).await?;
+                while stream.write_all(&repeated).await.is_ok() {}
+                *abandoned.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+                return Ok(());
+            }
             Action::Hang => {
                 let mut rest = [0; 64];
                 while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
