--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,7 +49,7 @@
 * [`resend`]: limit on resends, out of a budget shared by all daemons
 * [`runs`]: matching of a target's outgoing calls to the runs that made them
 * [`admission_share`]: share of the demand for a target that it can bear
-* [`reports`]: shares of services, as learned from other daemons
+* [`shares`]: admission shares of services, as learned from other daemons
 * [`root_admission`]: which root requests may start, by the shares of the services they depend on
 * [`candidate`]: input and output of a router
 */
@@ -68,12 +68,12 @@
 pub mod load;
 pub mod origins;
 pub mod pressure;
-pub mod reports;
 pub mod resend;
 pub mod root_admission;
 pub mod router;
 pub mod runs;
 pub mod settings;
+pub mod shares;
 pub mod work;
 
 mod cost;
@@ -104,10 +104,10 @@
 pub use crate::load::{Load, MalformedLoad};
 pub use crate::origins::{DaemonCounts, Location, RouteOrigins};
 pub use crate::pressure::{Pressure, PressureMeter};
-pub use crate::reports::AdmissionShares;
 pub use crate::resend::ResendBudget;
 pub use crate::root_admission::{RootAdmission, RootRequest, Shed};
 pub use crate::router::Router;
 pub use crate::runs::{Run, RunKey, Runs};
 pub use crate::settings::{GateConfig, Headroom, Order};
+pub use crate::shares::AdmissionShares;
 pub use crate::work::{Decision, Permit, QueueEvent, RunOutcome, WaiterKey, Work};
--- a/crates/policy/src/root_admission.rs
+++ b/crates/policy/src/root_admission.rs
@@ -6,7 +6,7 @@
 use model::{Class, ServiceName};
 
 use crate::admission_share::AdmissionShare;
-use crate::reports::AdmissionShares;
+use crate::shares::AdmissionShares;
 
 /// Number of requests after which the counts of a service are halved, so that they follow changes.
 /// An origin that gets few requests thus keeps its counts for longer.
