Take back the attribution of calls by matches alone, and keep its tests of classes

There the calls of the index expire by themselves too often, so under a quarter of them match and runs in flight are still blamed.

--- a/crates/policy/src/dependencies.rs
+++ b/crates/policy/src/dependencies.rs
@@ -10,7 +10,7 @@
 const HALVING_COUNT: u32 = 256;
 /// A route counts as a caller of another if at least one call per this many of its runs was
 /// matched to them. Calls matched to the wrong run are rarer.
-const MAX_RUNS_PER_CALL: u32 = 5;
+const MAX_RUNS_PER_CALL: u32 = 8;
 /// Requests of a route needed to decide whether its callers are runs of the local target.
 const MIN_REQUESTS: u32 = 16;
 /// Share of a route's requests, as a divisor, that must match a run by their deadline for the route
@@ -116,12 +116,10 @@
         }
         let parents = match &matched.route {
             Some(parent) => vec![parent.clone()],
-            // The matches tell the callers of the route; others only happen to run meanwhile.
-            None if matches_runs => Vec::new(),
             None => possible_parents(),
         };
         let stats = self.entry(route);
-        stats.orphans += u32::from(parents.is_empty() && !matches_runs);
+        stats.orphans += u32::from(parents.is_empty());
         let has_external_callers =
             stats.requests >= MIN_REQUESTS && stats.orphans * ORPHANS_DIVISOR > stats.requests;
         kind.is_call = matches_runs || !parents.is_empty() && !has_external_callers;
