--- a/crates/relay/src/piggyback.rs
+++ b/crates/relay/src/piggyback.rs
@@ -1,4 +1,5 @@
-//! Load, dependencies, admission shares and state versions that daemons piggyback on requests and answers.
+//! Load, dependencies, admission shares and state versions that daemons piggyback on requests and
+//! answers.
 
 use std::fmt::Write;
 use std::net::{IpAddr, SocketAddr};
@@ -151,9 +152,20 @@
 /// Removes the admission share of the answering target from the headers of its answer. Daemons of
 /// earlier versions report none, which limits nothing.
 pub(crate) fn take_target_share(headers: &mut HeaderMap) -> AdmissionShare {
-    let value = headers.remove(TARGET_SHARE);
-    let share = value.and_then(|value| value.to_str().ok()?.parse::<u16>().ok());
-    share.map_or(AdmissionShare::ALL, AdmissionShare::from)
+    let Some(value) = headers.remove(TARGET_SHARE) else {
+        return AdmissionShare::ALL;
+    };
+    let share = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u16>().ok());
+    share.map_or_else(
+        || {
+            log::debug!(value:?; "malformed target share ignored");
+            AdmissionShare::ALL
+        },
+        AdmissionShare::from,
+    )
 }
 
 /// Removes the headers that [`write_answer_headers`] added to an answer, and records their content.
