Log how a configuration came, and how old the one before it was

From the logs of a watch that went silent, a lost answer and a version that was spread late look the same: 'store lost' comes only when the watch has ended, and 'configuration in force' doesn't say how the version came. Its new fields via and previous_age_ms do, and the gauge configuration_age_seconds shows a daemon that has heard nothing of the configuration for long. No change of behaviour.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -137,6 +137,9 @@
     let is_reader = relay.readers.borrow().is_reader();
     metrics.set_gauge("is_reader", f64::from(u8::from(is_reader)));
     metrics.set_gauge("configuration_version", f64::from(version));
+    if let Some(age) = view.table_age(now) {
+        metrics.set_gauge("configuration_age_seconds", age.as_secs_f64());
+    }
     let mut text = Vec::new();
     TextEncoder::new()
         .encode(&metrics.registry.gather(), &mut text)
--- a/crates/relay/src/pull.rs
+++ b/crates/relay/src/pull.rs
@@ -16,7 +16,7 @@
 use crate::piggyback;
 use crate::relay::Relay;
 use crate::responses::status_only;
-use crate::source::{Document, PublishedState};
+use crate::source::{Document, PublishedState, Via};
 use crate::sync;
 
 /// Path of the configuration that a daemon serves to other daemons.
@@ -90,7 +90,7 @@
     match timeout(FETCH_TIMEOUT, fetch(relay, from, state)).await {
         Ok(Ok((document, read_at))) => {
             log::debug!(state:%, from:%, revision = document.revision; "state fetched");
-            sync::apply_document(relay, state, document, read_at);
+            sync::apply_document(relay, state, document, read_at, Via::Daemon);
         }
         Ok(Err(error)) => log::debug!(state:%, from:%, error; "failed to fetch state"),
         Err(_) => log::debug!(state:%, from:%; "state fetch timed out"),
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -19,6 +19,20 @@
     Targets,
 }
 
+/// How a published state reached this daemon.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Via {
+    /// A read of the source.
+    #[display("read")]
+    Read,
+    /// A watch of the source.
+    #[display("watch")]
+    Watch,
+    /// A fetch from another daemon.
+    #[display("daemon")]
+    Daemon,
+}
+
 /// Lowest bit of a revision that counts how often the source was restored from an older copy of
 /// itself. The source counts its own revisions anew from that copy, so they are lower then.
 pub const RESTORATION_SHIFT: u32 = 40;
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -8,10 +8,11 @@
 use routes::Readers;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::dispatch::millis;
 use crate::pull;
 use crate::relay::Relay;
 use crate::source::{
-    Document, PublishedState, ReadMode, Source, SourceError, SourceFuture, WatchResult,
+    Document, PublishedState, ReadMode, Source, SourceError, SourceFuture, Via, WatchResult,
 };
 use crate::view::UpdateResult;
 
@@ -95,17 +96,17 @@
             // A watch continues from the configuration that another daemon read.
             after = relay.view.borrow().table_document().map(|(rev, _)| rev);
         }
-        let result = match after {
-            None => read_table(&source, limit).await,
+        let (result, via) = match after {
+            None => (read_table(&source, limit).await, Via::Read),
             Some(after) => {
                 let watch = (source.watch_table)(after, WATCH_WAIT);
-                with_timeout(WATCH_WAIT + limit, watch).await
+                (with_timeout(WATCH_WAIT + limit, watch).await, Via::Watch)
             }
         };
         match result {
             Ok(watched) => {
                 reachability.record_success();
-                after = apply_watch_result(&relay, watched);
+                after = apply_watch_result(&relay, watched, via);
                 if after.is_some() {
                     backoff = Backoff::new();
                 } else {
@@ -172,16 +173,19 @@
 
 /// Applies the result of a read or watch. Returns the revision to watch from, or `None` if the
 /// state has to be read again.
-fn apply_watch_result(relay: &Relay, watched: WatchResult) -> Option<u64> {
-    match watched {
-        WatchResult::HistoryGone => None,
-        WatchResult::Unchanged(revision) => Some(revision),
+fn apply_watch_result(relay: &Relay, watched: WatchResult, via: Via) -> Option<u64> {
+    let now = Instant::now();
+    let revision = match watched {
+        WatchResult::HistoryGone => return None,
+        WatchResult::Unchanged(revision) => revision,
         WatchResult::Changed(document) => {
             let revision = document.revision;
-            apply_document(relay, PublishedState::Table, document, Instant::now());
-            Some(revision)
+            apply_document(relay, PublishedState::Table, document, now, via);
+            revision
         }
-    }
+    };
+    relay.view.borrow_mut().confirm_table(now);
+    Some(revision)
 }
 
 /// Keeps the target list up to date: a reader reads it whenever it is stale; the other daemons ask
@@ -217,7 +221,7 @@
                 reachability.record_success();
                 backoff = Backoff::new();
                 if let Some(document) = document {
-                    apply_document(&relay, PublishedState::Targets, document, now);
+                    apply_document(&relay, PublishedState::Targets, document, now, Via::Read);
                 }
                 if !readers.is_reader() {
                     // The readers may be cut off, so they may also lack a newer configuration.
@@ -283,7 +287,7 @@
 async fn read_table_once(relay: &Relay, source: &Source, limit: Duration) {
     match read_table(source, limit).await {
         Ok(watched) => {
-            apply_watch_result(relay, watched);
+            apply_watch_result(relay, watched, Via::Read);
         }
         Err(error) => log::debug!(error:%; "failed to read the configuration"),
     }
@@ -312,13 +316,19 @@
     state: PublishedState,
     document: Document,
     read_at: Instant,
+    via: Via,
 ) {
     let revision = document.revision;
     let result = match state {
         PublishedState::Table => (relay.parse.table)(&document.bytes).map(|table| {
             let (version, routes) = (table.version(), table.routes().len());
+            let previous_age = relay.view.borrow().table_age(Instant::now());
             if relay.update_table(table, document) == UpdateResult::Applied {
-                log::info!(version, revision, routes; "configuration in force");
+                let previous_age_ms = previous_age.map(millis);
+                log::info!(
+                    version, revision, routes, via:%, previous_age_ms;
+                    "configuration in force"
+                );
             }
         }),
         PublishedState::Targets => (relay.parse.targets)(&document.bytes).map(|targets| {
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -1,6 +1,7 @@
 //! The published states that this daemon holds, and how newer versions replace them.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use routes::{ActiveTargets, Freshness, RouteTable, StampDiff, Target, Targets};
@@ -93,6 +94,18 @@
         self.active_targets.mark_unreachable();
     }
 
+    /// Records that at `at` the source held no newer configuration than the one in force.
+    pub(crate) fn confirm_table(&mut self, at: Instant) {
+        self.freshness.confirm_table(at.into_std());
+    }
+
+    /// Returns the time since the configuration was last known to be the newest one; `None` if it
+    /// never was.
+    pub(crate) fn table_age(&self, now: Instant) -> Option<Duration> {
+        let confirmed_at = self.freshness.table_confirmed_at()?;
+        Some(now.into_std().saturating_duration_since(confirmed_at))
+    }
+
     /// Returns when any daemon last read the current target list; `None` if there is no list.
     pub(crate) fn targets_read_at(&self) -> Option<Instant> {
         self.freshness.targets_read_at().map(Instant::from_std)
--- a/crates/routes/src/freshness.rs
+++ b/crates/routes/src/freshness.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct Freshness {
     table: u64,
+    /// When the configuration was last known to be the newest one.
+    table_confirmed_at: Option<Instant>,
     targets: u64,
     digest: u64,
     /// When any daemon last read the current list.
@@ -40,6 +42,17 @@
         self.table = version;
     }
 
+    /// Records that at `at` the platform published no newer configuration than the one in force.
+    pub fn confirm_table(&mut self, at: Instant) {
+        self.table_confirmed_at = self.table_confirmed_at.max(Some(at));
+    }
+
+    /// When the configuration was last known to be the newest one; `None` if it never was.
+    #[must_use]
+    pub fn table_confirmed_at(&self) -> Option<Instant> {
+        self.table_confirmed_at
+    }
+
     /// Sets revision, content digest and read time of the current target list.
     pub fn set_targets(&mut self, revision: u64, digest: u64, read_at: Instant) {
         self.targets = revision;
