--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -61,6 +61,8 @@
     calls: u64,
     /// How often the store was restored from a copy.
     era: u64,
+    /// How often the answers of all waiting watches were lost.
+    lost_watches: u64,
 }
 
 /// Items of a store at one time, with the revisions of that time.
@@ -134,6 +136,13 @@
         self.state.lock().history = Some(revisions);
     }
 
+    /// Never answers the watches that are waiting now, whose connections stay open. Later requests
+    /// on other connections are answered.
+    pub fn lose_waiting_watches(&self) {
+        self.state.lock().lost_watches += 1;
+        self.state.changed.notify_waiters();
+    }
+
     /// Copies all items.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
@@ -258,8 +267,12 @@
 
 async fn watch(state: &State, prefix: &str, after: u64, wait: Duration) -> Response<Body> {
     let until = tokio::time::Instant::now() + wait;
+    let lost_before = state.lock().lost_watches;
     loop {
         let changed = state.changed.notified();
+        if state.lock().lost_watches != lost_before {
+            return std::future::pending().await;
+        }
         if state.is_compacted(after) {
             return status(StatusCode::GONE);
         }
