Check the configuration with each read of the target list

Callers saw requests handled as only an older version allows, up to 5.2 s after a new one was confirmed; the bound is 2 s.

Cause: a change reached the readers only by their watches. A watch whose connection went silent, or whose answer was lost, looks like one without a change for 6 s. All watches begin together after each change, so all can be lost at once. The target list is read over another connection, and its age was taken as evidence that nothing is missed: while it is young, no daemon asks for a newer configuration. Class: the freshness of one state vouched for another one.

Change: whoever reads the list checks the configuration too, with a watch that doesn't wait, over a connection of its own. Each daemon keeps when its configuration was last known to be the newest one, and the age that daemons tell each other is that of the staler state, so a young list alone no longer stops them from asking. No name or field on the wire changes. The ages follow the shorter of the two bounds. A check starts from the revision of the last full read, not of the last check, so that a change which a watch was told late is still found.

Ruled out: shorter waits (a call at each reader instead of one at whoever reads), and probes of the connection alone, which don't show a lost answer.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -130,7 +130,8 @@
     metrics.set_gauge("pressure", report.pressure.ratio());
     metrics.set_gauge("admission_share", report.share.ratio());
     metrics.set_gauge("run_time_seconds", report.run_time.as_secs_f64());
-    metrics.set_gauge("targets_age_seconds", view.stamp(now).age.as_secs_f64());
+    let targets_age = view.targets_age(now).unwrap_or_default();
+    metrics.set_gauge("targets_age_seconds", targets_age.as_secs_f64());
     let version = u32::try_from(view.stamp(now).table).unwrap_or(u32::MAX);
     let targets = u32::try_from(view.targets.len()).unwrap_or(u32::MAX);
     metrics.set_gauge("targets", f64::from(targets));
--- a/crates/relay/src/pull.rs
+++ b/crates/relay/src/pull.rs
@@ -12,6 +12,7 @@
 use routes::StampDiff;
 use tokio::time::{Instant, timeout};
 
+use crate::dispatch::millis;
 use crate::payload::Payload;
 use crate::piggyback;
 use crate::relay::Relay;
@@ -27,7 +28,8 @@
 const VIEW_PATH: &str = "/-/berylhead/view";
 /// Header with the revision of the state in the response.
 const STATE_REVISION: HeaderName = HeaderName::from_static("berylhead-state-revision");
-/// Header with the time since the target list was read from the source, in milliseconds.
+/// Header with the time since the state was last known to be the newest one, in milliseconds; absent
+/// if it never was.
 const STATE_AGE: HeaderName = HeaderName::from_static("berylhead-state-age");
 /// Timeout of a fetch: several round trips over a slow link.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
@@ -88,9 +90,9 @@
 
 async fn fetch_and_apply(relay: &Relay, from: SocketAddr, state: PublishedState) {
     match timeout(FETCH_TIMEOUT, fetch(relay, from, state)).await {
-        Ok(Ok((document, read_at))) => {
+        Ok(Ok((document, confirmed_at))) => {
             log::debug!(state:%, from:%, revision = document.revision; "state fetched");
-            sync::apply_document(relay, state, document, read_at, Via::Daemon);
+            sync::apply_document(relay, state, document, confirmed_at, Via::Daemon);
         }
         Ok(Err(error)) => log::debug!(state:%, from:%, error; "failed to fetch state"),
         Err(_) => log::debug!(state:%, from:%; "state fetch timed out"),
@@ -123,7 +125,8 @@
     relay: &Relay,
     from: SocketAddr,
     state: PublishedState,
-) -> Result<(Document, Instant), &'static str> {
+) -> Result<(Document, Option<Instant>), &'static str> {
+    let sent_at = Instant::now();
     let path = match state {
         PublishedState::Table => TABLE_PATH,
         PublishedState::Targets => TARGETS_PATH,
@@ -140,7 +143,7 @@
         value.parse::<u64>().ok()
     };
     let revision = number(STATE_REVISION).ok_or("missing or invalid state revision")?;
-    let age = number(STATE_AGE).map_or(Duration::ZERO, Duration::from_millis);
+    let age = number(STATE_AGE).map(Duration::from_millis);
     let body = reply
         .body
         .collect()
@@ -153,8 +156,7 @@
         revision,
         bytes: body.to_bytes(),
     };
-    let now = Instant::now();
-    Ok((document, now.checked_sub(age).unwrap_or(now)))
+    Ok((document, age.and_then(|age| sent_at.checked_sub(age))))
 }
 
 /// Serves a fetch or a comparison of another daemon; `None` if the request is neither.
@@ -169,23 +171,24 @@
         return Some(res);
     }
     let view = relay.view.borrow();
-    let document = match head.uri.path() {
-        TABLE_PATH => view.table_document(),
-        TARGETS_PATH => view.targets_document(),
+    let now = Instant::now();
+    let (document, age) = match head.uri.path() {
+        TABLE_PATH => (view.table_document(), view.table_age(now)),
+        TARGETS_PATH => (view.targets_document(), view.targets_age(now)),
         _ => return None,
     };
-    let age = view.stamp(Instant::now()).age;
     Some(document_response(document, age))
 }
 
-fn document_response(document: Option<(u64, Bytes)>, age: Duration) -> Response<Payload> {
+fn document_response(document: Option<(u64, Bytes)>, age: Option<Duration>) -> Response<Payload> {
     let Some((revision, bytes)) = document else {
         return status_only(StatusCode::NOT_FOUND);
     };
     let mut res = Response::new(Payload::Buffered(bytes));
-    let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     let headers = res.headers_mut();
     headers.insert(STATE_REVISION, HeaderValue::from(revision));
-    headers.insert(STATE_AGE, HeaderValue::from(age_ms));
+    if let Some(age) = age {
+        headers.insert(STATE_AGE, HeaderValue::from(millis(age)));
+    }
     res
 }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -28,6 +28,9 @@
     /// A watch of the source.
     #[display("watch")]
     Watch,
+    /// A check of the source for changes.
+    #[display("check")]
+    Check,
     /// A fetch from another daemon.
     #[display("daemon")]
     Daemon,
@@ -99,6 +102,8 @@
 /// Waits for a change of the configuration after the given revision, at most for the given
 /// time.
 pub type WatchFn = Box<dyn Fn(u64, Duration) -> SourceFuture<WatchResult>>;
+/// Returns at once what has changed in the configuration after the given revision.
+pub type CheckFn = Box<dyn Fn(u64) -> SourceFuture<WatchResult>>;
 /// Parses a document; the error is a message for the log.
 pub type ParseFn<T> = fn(&[u8]) -> Result<T, String>;
 
@@ -108,6 +113,8 @@
     pub read: ReadFn,
     /// Watches the configuration.
     pub watch_table: WatchFn,
+    /// Checks the configuration for changes over a connection other than that of the watch.
+    pub check_table: CheckFn,
     /// Parsers of both states.
     pub parse: Parsers,
 }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -17,7 +17,7 @@
 use crate::view::UpdateResult;
 
 /// Time for which the source holds a watch open without a change. A connection that went silent
-/// shows only after that time.
+/// shows only after that time; until then, changes are found by checks.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Timeout of a response of the source, beyond the time that it was asked to wait, as a
 /// fraction of the bound for applying a new configuration. The rest of the bound leaves time
@@ -174,22 +174,20 @@
 /// Applies the result of a read or watch. Returns the revision to watch from, or `None` if the
 /// state has to be read again.
 fn apply_watch_result(relay: &Relay, watched: WatchResult, via: Via) -> Option<u64> {
-    let now = Instant::now();
-    let revision = match watched {
-        WatchResult::HistoryGone => return None,
-        WatchResult::Unchanged(revision) => revision,
+    match watched {
+        WatchResult::HistoryGone => None,
+        WatchResult::Unchanged(revision) => Some(revision),
         WatchResult::Changed(document) => {
             let revision = document.revision;
-            apply_document(relay, PublishedState::Table, document, now, via);
-            revision
+            apply_document(relay, PublishedState::Table, document, None, via);
+            Some(revision)
         }
-    };
-    relay.view.borrow_mut().confirm_table(now);
-    Some(revision)
+    }
 }
 
-/// Keeps the target list up to date: a reader reads it whenever it is stale; the other daemons ask
-/// the readers, and read it themselves if these have none that is newer.
+/// Keeps the target list up to date, and notices changes of the configuration that the watches miss:
+/// a reader reads the list and checks the configuration whenever either is stale; the other daemons
+/// ask the readers, and do the same if these know nothing newer.
 pub(crate) async fn follow_targets(relay: Rc<Relay>, source: Rc<Source>) {
     let mut reachability = SourceReachability::new(PublishedState::Targets);
     let mut backoff = Backoff::new();
@@ -199,42 +197,85 @@
     let began = Instant::now();
     loop {
         let readers = relay.readers.borrow().clone();
-        let ages = readers.ages(relay.cfg.bounds.drain, rand::random());
+        let ages = readers.ages(strictest_bound(&relay), rand::random());
         wait_until_behind(&relay, &readers, ages.ask).await;
         ask(&relay, &readers.to_ask(), ages.ask).await;
         if !is_older(&relay, ages.ask) {
             sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
-        let now = Instant::now();
         let is_due = if relay.view.borrow().targets_read_at().is_some() || readers.is_reader() {
             is_older(&relay, ages.read)
         } else {
             readers_are_overdue(&relay, began)
         };
-        if !is_due || now < next_read {
+        if !is_due || Instant::now() < next_read {
             sleep(ASK_INTERVAL).await;
             continue;
         }
-        match with_timeout(limit, read_targets(&source, ReadMode::Current)).await {
-            Ok(document) => {
-                reachability.record_success();
-                backoff = Backoff::new();
-                if let Some(document) = document {
-                    apply_document(&relay, PublishedState::Targets, document, now, Via::Read);
-                }
-                if !readers.is_reader() {
-                    // The readers may be cut off, so they may also lack a newer configuration.
-                    read_table_once(&relay, &source, limit).await;
-                }
-            }
+        let (table_checked, targets_read) = tokio::join!(
+            check_table(&relay, &source, limit),
+            update_targets(&relay, &source, limit),
+        );
+        match &targets_read {
+            Ok(()) => reachability.record_success(),
             Err(error) => {
-                reachability.record_failure(&error);
+                reachability.record_failure(error);
                 relay.view.borrow_mut().mark_targets_unreachable();
-                next_read = Instant::now() + backoff.next();
-                ask(&relay, &random_peers(&relay), ages.ask).await;
             }
         }
+        if table_checked.and(targets_read).is_ok() {
+            backoff = Backoff::new();
+        } else {
+            next_read = Instant::now() + backoff.next();
+            ask(&relay, &random_peers(&relay), ages.ask).await;
+        }
+    }
+}
+
+/// The shorter one of the bounds within which changes of both states must be known.
+fn strictest_bound(relay: &Relay) -> Duration {
+    relay.cfg.bounds.drain.min(relay.cfg.bounds.config_apply)
+}
+
+/// Reads the target list and applies it.
+async fn update_targets(
+    relay: &Relay,
+    source: &Source,
+    limit: Duration,
+) -> Result<(), SourceError> {
+    let sent_at = Instant::now();
+    let document = with_timeout(limit, read_targets(source, ReadMode::Current)).await?;
+    if let Some(document) = document {
+        let state = PublishedState::Targets;
+        apply_document(relay, state, document, Some(sent_at), Via::Read);
+    }
+    Ok(())
+}
+
+/// Checks whether the configuration has changed, and applies the change. A watch can't replace this:
+/// one whose connection went silent looks like one without a change.
+async fn check_table(relay: &Relay, source: &Source, limit: Duration) -> Result<(), SourceError> {
+    let sent_at = Instant::now();
+    let held = relay.view.borrow().table_document();
+    let checked = match held {
+        Some((revision, _)) => with_timeout(limit, (source.check_table)(revision)).await,
+        None => Ok(WatchResult::HistoryGone),
+    };
+    let result = match checked {
+        Ok(WatchResult::HistoryGone) => read_table(source, limit).await,
+        checked => checked,
+    };
+    match result {
+        Ok(watched) => {
+            apply_watch_result(relay, watched, Via::Check);
+            relay.view.borrow_mut().confirm_table(sent_at);
+            Ok(())
+        }
+        Err(error) => {
+            log::debug!(error:%; "failed to check the configuration");
+            Err(error)
+        }
     }
 }
 
@@ -261,7 +302,7 @@
     (source.read)(PublishedState::Targets, mode)
 }
 
-/// Asks other daemons, one after the other, until the target list is younger than `age`.
+/// Asks other daemons, one after the other, until both states are younger than `age`.
 async fn ask(relay: &Rc<Relay>, daemons: &[IpAddr], age: Duration) {
     for ip in daemons {
         let daemon = SocketAddr::new(*ip, relay.cfg.listen.mesh.port());
@@ -283,39 +324,34 @@
     others.choose_multiple(&mut rand::rng(), PEERS_ASKED)
 }
 
-/// Reads the configuration on behalf of a daemon that is no reader.
-async fn read_table_once(relay: &Relay, source: &Source, limit: Duration) {
-    match read_table(source, limit).await {
-        Ok(watched) => {
-            apply_watch_result(relay, watched, Via::Read);
-        }
-        Err(error) => log::debug!(error:%; "failed to read the configuration"),
-    }
-}
-
-/// True if there is no target list or it was read at least `age` ago.
+/// True if either state was last known to be the newest one at least `age` ago, or never.
 fn is_older(relay: &Relay, age: Duration) -> bool {
-    let read_at = relay.view.borrow().targets_read_at();
-    read_at.is_none_or(|read_at| read_at.elapsed() >= age)
+    let confirmed_at = relay.view.borrow().confirmed_at();
+    confirmed_at.is_none_or(|at| at.elapsed() >= age)
 }
 
-/// Waits until the target list is older than `age`. Returns at once if there is none, or if readers
+/// Waits until either state is older than `age`. Returns at once if one is unknown, or if readers
 /// may have a configuration and this daemon has none.
 async fn wait_until_behind(relay: &Relay, readers: &Readers, age: Duration) {
     while !is_older(relay, age) && (relay.table().is_some() || readers.is_reader()) {
-        let read_at = relay.view.borrow().targets_read_at();
-        let Some(read_at) = read_at else { return };
-        sleep_until(read_at + age).await;
+        let confirmed_at = relay.view.borrow().confirmed_at();
+        let Some(confirmed_at) = confirmed_at else {
+            return;
+        };
+        sleep_until(confirmed_at + age).await;
     }
 }
 
 /// Parses a published state and puts it into force unless it is older than the current one. A
 /// state that can't be parsed is logged and ignored.
+///
+/// `confirmed_at` is when it was last known to be the newest one. A target list without that time
+/// is ignored.
 pub(crate) fn apply_document(
     relay: &Relay,
     state: PublishedState,
     document: Document,
-    read_at: Instant,
+    confirmed_at: Option<Instant>,
     via: Via,
 ) {
     let revision = document.revision;
@@ -330,9 +366,16 @@
                     "configuration in force"
                 );
             }
+            if let Some(confirmed_at) = confirmed_at {
+                relay.view.borrow_mut().confirm_table(confirmed_at);
+            }
         }),
         PublishedState::Targets => (relay.parse.targets)(&document.bytes).map(|targets| {
             let count = targets.len();
+            let Some(read_at) = confirmed_at else {
+                log::debug!(revision; "target list of unknown age ignored");
+                return;
+            };
             if relay.update_targets(&targets, document, read_at) == UpdateResult::Applied {
                 log::info!(revision, count; "targets changed");
             }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -42,6 +42,12 @@
     pub(crate) fn update_table(&mut self, table: RouteTable, document: Document) -> UpdateResult {
         let known = self.table.as_ref().map(|table| table.version());
         if known.is_some_and(|known| known >= table.version()) {
+            if known == Some(table.version())
+                && let Some(current) = &mut self.table_document
+            {
+                // Checks start from a revision that the source still has the history of.
+                current.revision = current.revision.max(document.revision);
+            }
             return UpdateResult::Unchanged;
         }
         self.freshness.set_table_version(table.version());
@@ -111,6 +117,19 @@
         self.freshness.targets_read_at().map(Instant::from_std)
     }
 
+    /// Returns when the staler one of both states was last known to be the newest one; `None` if
+    /// either never was.
+    pub(crate) fn confirmed_at(&self) -> Option<Instant> {
+        self.freshness.confirmed_at().map(Instant::from_std)
+    }
+
+    /// Returns the time since any daemon last read the current target list; `None` if there is no
+    /// list.
+    pub(crate) fn targets_age(&self, now: Instant) -> Option<Duration> {
+        let read_at = self.targets_read_at()?;
+        Some(now.saturating_duration_since(read_at))
+    }
+
     /// Returns the versions of both states, for other daemons.
     pub(crate) fn stamp(&self, now: Instant) -> ViewStamp {
         self.freshness.stamp(now.into_std())
--- a/crates/routes/src/freshness.rs
+++ b/crates/routes/src/freshness.rs
@@ -9,6 +9,8 @@
 /// It exceeds the latency of a message between daemons. Without it, two daemons would keep an old
 /// list fresh for ever by confirming it to each other.
 const AGE_PER_HOP: Duration = Duration::from_millis(40);
+/// Age of states that were never confirmed.
+const UNKNOWN_AGE: Duration = Duration::from_millis(u64::MAX);
 
 /// What another daemon's [`ViewStamp`] has that this daemon lacks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -72,21 +74,34 @@
         self.read_at
     }
 
+    /// When the staler one of both states was last known to be the newest one; `None` if either
+    /// never was.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        Some(self.table_confirmed_at?.min(self.read_at?))
+    }
+
     /// Stamp to send to other daemons.
+    ///
+    /// Its age is that of the staler state, so a young list does not vouch for a configuration of
+    /// which nothing has been heard.
     #[must_use]
     pub fn stamp(&self, now: Instant) -> ViewStamp {
-        let age = self.read_at.map(|at| now.saturating_duration_since(at));
+        let age = self
+            .confirmed_at()
+            .map(|at| now.saturating_duration_since(at));
         ViewStamp {
             table: self.table,
             targets: self.targets,
             digest: self.digest,
-            age: age.unwrap_or_default(),
+            age: age.unwrap_or(UNKNOWN_AGE),
         }
     }
 
     /// Compares another daemon's stamp with the own state.
     ///
-    /// If that daemon read the same list later, its read time is taken over.
+    /// If that daemon read the same list later, its read time is taken over, and likewise the time
+    /// at which it knew of no newer configuration than the own one.
     pub fn merge(&mut self, stamp: ViewStamp, now: Instant) -> StampDiff {
         let same = stamp.digest == self.digest && self.targets > 0;
         // A new read of an unchanged list may carry the same revision, so the time decides.
@@ -96,6 +111,13 @@
             self.targets = stamp.targets;
             self.read_at = read_at;
         }
+        // A daemon without a list states no age.
+        if stamp.table <= self.table
+            && stamp.targets > 0
+            && let Some(at) = read_at
+        {
+            self.confirm_table(at);
+        }
         StampDiff {
             newer_read,
             newer_table: stamp.table > self.table,
--- a/crates/routes/tests/freshness.rs
+++ b/crates/routes/tests/freshness.rs
@@ -7,9 +7,11 @@
 
 const MS: Duration = Duration::from_millis(1);
 
+/// States of a daemon that read the list and checked the configuration at `at`.
 fn read(revision: u64, digest: u64, at: Instant) -> Freshness {
     let mut freshness = Freshness::default();
     freshness.set_targets(revision, digest, at);
+    freshness.confirm_table(at);
     freshness
 }
 
@@ -64,3 +66,43 @@
     assert!(own.merge(other.stamp(now), now).newer_targets);
     assert_eq!(own.targets_read_at(), None);
 }
+
+/// Guards against a young target list that hides that nothing is heard of the configuration.
+#[test]
+fn a_young_list_does_not_vouch_for_an_old_configuration() {
+    let start = Instant::now();
+    let now = start + 900 * MS;
+    let mut own = read(20, 7, start);
+    let mut other = read(20, 7, start);
+    other.set_targets(20, 7, now);
+    assert_eq!(other.confirmed_at(), Some(start));
+    own.merge(other.stamp(now), now);
+    assert_eq!(own.confirmed_at(), Some(start));
+    other.confirm_table(now);
+    own.merge(other.stamp(now), now);
+    assert_eq!(own.confirmed_at(), Some(start + 860 * MS));
+}
+
+#[test]
+fn a_daemon_with_a_newer_configuration_does_not_confirm_the_own_one() {
+    let start = Instant::now();
+    let now = start + 900 * MS;
+    let mut own = read(20, 7, start);
+    let mut other = read(20, 7, now);
+    other.set_table_version(4);
+    own.merge(other.stamp(now), now);
+    assert_eq!(own.table_confirmed_at(), Some(start));
+    own.set_table_version(4);
+    own.merge(other.stamp(now), now);
+    assert_eq!(own.table_confirmed_at(), Some(start + 860 * MS));
+}
+
+#[test]
+fn a_daemon_without_a_list_confirms_nothing() {
+    let start = Instant::now();
+    let mut own = read(20, 7, start);
+    let stamp = Freshness::default().stamp(start);
+    assert!(stamp.age > Duration::from_hours(24));
+    own.merge(stamp, start + 900 * MS);
+    assert_eq!(own.confirmed_at(), Some(start));
+}
