Log and count what targets say of their limit and of leaving

A target names the requests a second that it takes, or says that it leaves, in headers of its answers; nothing read them, so a limited target looked like any other in logs and metrics. The adapter names the headers; the daemon beside the target logs each change and shows the last state in two gauges. Answers with 421 come from another target at the address and are left out. No change of behaviour.

--- a/crates/relay/src/header_names.rs
+++ b/crates/relay/src/header_names.rs
@@ -15,4 +15,8 @@
     pub origin_service: HeaderName,
     /// Marks a response to a request that the target did not run.
     pub not_run: HeaderName,
+    /// Requests per second that a target takes from all callers together, a decimal number.
+    pub rate_limit: HeaderName,
+    /// Marks the responses of a target that is leaving with the value 1.
+    pub leaving: HeaderName,
 }
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -18,6 +18,7 @@
 use crate::headers::strip_hop_by_hop;
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
+use crate::target_notice::TargetNotice;
 
 /// Retry delay of a request that the local target can't run or refuses, such as when it is leaving.
 const LOCAL_REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -215,6 +216,10 @@
             why: "the answer does not echo the request id".to_owned(),
         };
     }
+    // An answer of another target at this address says nothing about the local one.
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        record_notice(relay, TargetNotice::read(&relay.names, &head.headers));
+    }
     let mut body = if is_head {
         Payload::empty()
     } else {
@@ -243,6 +248,18 @@
     ForwardOutcome::Answered { head, body }
 }
 
+/// Records what the local target says about itself, and logs a change.
+fn record_notice(relay: &Relay, notice: TargetNotice) {
+    let before = relay.target_notice.replace(notice);
+    if notice.limit_per_second != before.limit_per_second {
+        let per_second = notice.limit_per_second;
+        log::info!(per_second; "limit of the target changed");
+    }
+    if notice.is_leaving != before.is_leaving {
+        log::info!(leaving = notice.is_leaving; "leaving state of the target changed");
+    }
+}
+
 /// True if an answer states that the target did not run the request.
 fn is_refusal(relay: &Relay, head: &Head) -> bool {
     head.headers.contains_key(&relay.names.not_run)
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -141,6 +141,10 @@
     if let Some(age) = view.table_age(now) {
         metrics.set_gauge("configuration_age_seconds", age.as_secs_f64());
     }
+    let notice = relay.target_notice.get();
+    let limit = notice.limit_per_second.unwrap_or(f64::INFINITY);
+    metrics.set_gauge("target_limit_per_second", limit);
+    metrics.set_gauge("target_leaving", f64::from(u8::from(notice.is_leaving)));
     let mut text = Vec::new();
     TextEncoder::new()
         .encode(&metrics.registry.gather(), &mut text)
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::service::ServiceState;
 use crate::settings::Settings;
 use crate::source::{Document, Parsers, PublishedState};
+use crate::target_notice::TargetNotice;
 use crate::view::{UpdateResult, View};
 
 /// Slots assumed for the local target until its entry is known: few enough for any target.
@@ -72,6 +73,8 @@
     pub(crate) life: u64,
     pub(crate) known_daemons: KnownDaemons,
     pub(crate) fates: RefCell<Fates>,
+    /// What the local target said about itself last.
+    pub(crate) target_notice: Cell<TargetNotice>,
     pub(crate) phase: Cell<Phase>,
     /// Requests from this machine or from other daemons that are not completely answered yet.
     pub(crate) in_flight: Cell<usize>,
@@ -112,6 +115,7 @@
             life: rand::random(),
             known_daemons: KnownDaemons::default(),
             fates: RefCell::new(Fates::default()),
+            target_notice: Cell::new(TargetNotice::default()),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
