Pace the calls to a target by the limit that it names

Callers noticed nothing; the targets did: a target that asks for 46.2 requests a second got 382 in 4 s, where 282 are allowed.

Cause: nothing read the limit, so a target got what the router gave it by run time and occupancy. Class: a wish of the target that only its answers carry.

Change: every request reaches a target through the daemon beside it, so that daemon keeps to the limit, for all machines together and without any exchange: its gate spaces the starts (generic cell rate algorithm). The queue shrinks alike, and what the rate doesn't start in time is refused at once. The limit ends with an answer without one, if its request was sent after the last that named one. Until a target has answered once, four calls run at most: a restarted daemon knows of no limit yet.

Ruled out: a share of the limit at each origin, which needs an exchange that keeps up with restarts and cuts.

--- a/crates/policy/src/admission_share.rs
+++ b/crates/policy/src/admission_share.rs
@@ -5,8 +5,6 @@
 
 use derive_more::{Display, From, Into};
 
-use crate::load::Load;
-
 /// A share of 1, in thousandths: all requests are admitted.
 const ONE: u16 = 1_000;
 /// Interval between two updates of the share.
@@ -101,11 +99,13 @@
 
     /// Recomputes the share if an update is due.
     ///
-    /// `in_force` is the share of the whole service, which the origins apply; `None` if no other
+    /// `capacity` is the number of calls that the target can run at the same time, and `in_force`
+    /// the share of the whole service, which the origins apply; `None` if no other
     /// daemon has reported one recently.
     pub fn update(
         &mut self,
-        load: &Load,
+        capacity: f64,
+        queue_delay: Duration,
         mean_run_time: Duration,
         in_force: Option<AdmissionShare>,
         now: Instant,
@@ -116,9 +116,8 @@
         }
         self.updated = now;
         let arrivals = f64::from(std::mem::take(&mut self.arrivals));
-        let slots = f64::from(load.limit.max(1));
         let work = arrivals * mean_run_time.as_secs_f64();
-        let sample = work / (slots * interval.as_secs_f64());
+        let sample = work / (capacity * interval.as_secs_f64());
         let averaging_time = MIN_AVERAGING_TIME.max(mean_run_time * AVERAGING_RUNS);
         let weight = interval.as_secs_f64() / (interval + averaging_time).as_secs_f64();
         self.load += (sample - self.load) * weight;
@@ -126,7 +125,7 @@
         self.admitted += (admitted - self.admitted) * weight;
 
         let demand = self.load / self.admitted.max(MIN_SHARE);
-        let queued = load.queue_delay.as_secs_f64() / DRAIN_TIME.as_secs_f64();
+        let queued = queue_delay.as_secs_f64() / DRAIN_TIME.as_secs_f64();
         let capacity = TARGET_UTILIZATION * (1.0 - queued.min(MAX_DRAIN_SHARE));
         self.share = if demand > capacity {
             (capacity / demand).max(MIN_SHARE)
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -7,6 +7,7 @@
 use crate::headroom::HeadroomMeter;
 use crate::limiter::Limiter;
 use crate::load::Load;
+use crate::pacer::Pacer;
 use crate::priority::{Bucket, Forecast, Priority, priority_of};
 use crate::queue::AdmissionQueue;
 use crate::run_times::{Estimate, RunTimes};
@@ -17,6 +18,8 @@
 
 /// Shortest retry-after time of a refusal, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
+/// Calls that may run in a target that may name a rate and has not answered yet.
+const MAX_BEFORE_ANSWER: u32 = 4;
 /// Longest retry-after time of a refusal, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -30,6 +33,7 @@
 pub struct Gate {
     cfg: GateConfig,
     limiter: Limiter,
+    pacer: Pacer,
     queue: AdmissionQueue,
     times: RunTimes,
     headroom: HeadroomMeter,
@@ -43,6 +47,7 @@
     pub fn new(cfg: GateConfig, now: Instant) -> Self {
         Gate {
             limiter: Limiter::new(cfg.ceiling(), cfg.adaptive, cfg.slow_start, now),
+            pacer: Pacer::new(),
             queue: AdmissionQueue::new(cfg.queue),
             times: RunTimes::default(),
             headroom: HeadroomMeter::new(now),
@@ -59,6 +64,17 @@
         self.cfg = cfg;
     }
 
+    /// Records that the target has answered a call that was sent at `sent`, and the rate in calls
+    /// per second that it named with the answer, if any. Returns `true` if the rate has changed.
+    pub fn record_answer(&mut self, per_second: Option<f64>, sent: Instant, now: Instant) -> bool {
+        self.pacer.record_answer(per_second, sent, now)
+    }
+
+    /// Records that the target has been replaced by one that has not answered yet.
+    pub fn record_restart(&mut self) {
+        self.pacer = Pacer::new();
+    }
+
     /// Decides whether a call runs now, waits or is refused.
     pub fn offer(&mut self, work: Work, now: Instant) -> Decision {
         self.headroom.record_arrival(work.class, now);
@@ -72,10 +88,10 @@
             .queue
             .highest()
             .is_none_or(|highest| highest < priority);
-        if is_highest && self.has_slot(work.class) {
+        if is_highest && self.may_start(work.class, now) {
             return Decision::Run(self.start(&work, now));
         }
-        let wait = self.wait_before(priority, estimate);
+        let wait = self.wait_before(priority, estimate, now);
         if !fits(wait + expected, work.deadline, now) {
             return Decision::Refuse(self.refusal(RefusalReason::Deadline, &work));
         }
@@ -118,14 +134,14 @@
             let refusal = self.refusal(RefusalReason::Deadline, &work);
             events.push(QueueEvent::Refuse(key, refusal));
         }
-        while self.queue.len() > self.cfg.queue {
+        while self.queue.len() > self.max_queued() {
             let Some((key, refusal)) = self.shed_lowest(RefusalReason::Overloaded, now) else {
                 break;
             };
             events.push(QueueEvent::Refuse(key, refusal));
         }
         while let Some(highest) = self.queue.highest()
-            && self.has_slot(highest.class())
+            && self.may_start(highest.class(), now)
         {
             let newest_first = self.cfg.order == Order::Adaptive
                 && self.standing_queues.is_standing(highest.class());
@@ -141,10 +157,14 @@
         self.queue.remove(key);
     }
 
-    /// Returns when the next waiter expires, at which time [`poll`](Gate::poll) refuses it.
+    /// Returns when [`poll`](Gate::poll) is to be called next although no call ends: when the next
+    /// waiter expires, or may start at the rate of the target.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Instant> {
-        self.queue.next_expiry()
+        let highest = self.queue.highest();
+        let paced = highest.filter(|highest| self.has_slot(highest.class()));
+        let next_start = paced.and_then(|_| self.pacer.next_start());
+        next_start.into_iter().chain(self.queue.next_expiry()).min()
     }
 
     /// Returns the load to report to other daemons.
@@ -153,13 +173,25 @@
         let queued = self.queue.len();
         Load {
             in_flight: self.in_flight,
-            limit: self.limiter.limit(),
+            limit: self.effective_limit(),
             queued,
             queue_delay: self.time_to_start(queued, self.times.mean()),
             floor: self.standing_queues.admitted_floor(now),
         }
     }
 
+    /// Returns the number of calls that may run at the same time: the concurrency limit, or fewer
+    /// if the rate of the target starts no more within their mean run time.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        let limit = f64::from(self.slots());
+        let run_time = self.times.mean().as_secs_f64();
+        match self.pacer.per_second() {
+            Some(per_second) if run_time > 0.0 => limit.min(per_second * run_time),
+            _ => limit,
+        }
+    }
+
     /// Returns the mean run time; zero until a run has ended.
     #[must_use]
     pub fn mean_run_time(&self) -> Duration {
@@ -169,6 +201,7 @@
     fn start(&mut self, work: &Work, now: Instant) -> Permit {
         let waited = now.saturating_duration_since(work.arrived);
         self.standing_queues.record_start(work.class, waited, now);
+        self.pacer.record_start(now);
         self.in_flight += 1;
         Permit {
             operation: work.operation,
@@ -177,8 +210,45 @@
         }
     }
 
-    fn has_slot(&self, class: Class) -> bool {
+    fn may_start(&self, class: Class, now: Instant) -> bool {
+        self.pacer.is_ready(now) && self.has_slot(class)
+    }
+
+    /// Calls that may run concurrently, regardless of the rate. Until the target has answered once,
+    /// it may have a limit that this daemon doesn't know, as after a restart of the daemon.
+    fn slots(&self) -> u32 {
         let limit = self.limiter.limit();
+        if self.cfg.names_rate && !self.pacer.has_answered() {
+            limit.min(MAX_BEFORE_ANSWER)
+        } else {
+            limit
+        }
+    }
+
+    /// [`capacity`](Self::capacity) in whole calls.
+    fn effective_limit(&self) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the value lies between 0 and the slots"
+        )]
+        let limit = self.capacity().ceil() as u32;
+        limit.max(1)
+    }
+
+    /// Maximum number of queued calls: as many for each call that may run as configured.
+    fn max_queued(&self) -> u32 {
+        if self.pacer.per_second().is_none() {
+            return self.cfg.queue;
+        }
+        let per_slot = (self.cfg.queue / self.cfg.ceiling()).max(1);
+        self.cfg
+            .queue
+            .min(self.effective_limit().saturating_mul(per_slot))
+    }
+
+    fn has_slot(&self, class: Class) -> bool {
+        let limit = self.slots();
         let reserve = self.headroom.reserve(class, limit, self.cfg.headroom);
         self.in_flight + reserve < limit
     }
@@ -203,7 +273,7 @@
         priority: Priority,
         now: Instant,
     ) -> Result<Option<(WaiterKey, Refusal)>, Refusal> {
-        if self.queue.len() < self.cfg.queue {
+        if self.queue.len() < self.max_queued() {
             return Ok(None);
         }
         let bucket = Bucket::new(priority, work.shed_hash);
@@ -225,7 +295,12 @@
     ///
     /// Long runs of other operations raise the mean without delaying short calls of the same
     /// priority, so the shorter of the mean and the operation's own median is used.
-    fn wait_before(&self, priority: Priority, estimate: Option<Estimate>) -> Duration {
+    fn wait_before(
+        &self,
+        priority: Priority,
+        estimate: Option<Estimate>,
+        now: Instant,
+    ) -> Duration {
         let newest_first =
             self.cfg.order == Order::Adaptive && self.standing_queues.is_standing(priority.class());
         let above = self.queue.count_above(priority);
@@ -236,12 +311,22 @@
         };
         let mean = self.times.mean();
         let run_time = estimate.map_or(mean, |estimate| estimate.median.min(mean));
-        self.time_to_start(above + same, run_time)
+        let next_start = self.pacer.next_start();
+        let until_next = next_start.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+        until_next + self.time_to_start(above + same, run_time)
     }
 
-    /// Returns the time in which `count` waiters start, at one per `run_time / limit`.
+    /// Returns the time in which `count` waiters start, at one per `run_time / limit` and at most at
+    /// the rate of the target.
     fn time_to_start(&self, count: u32, run_time: Duration) -> Duration {
-        run_time * count / self.limiter.limit()
+        let by_slots = run_time * count / self.limiter.limit();
+        let by_rate = self
+            .pacer
+            .per_second()
+            .map_or(Duration::ZERO, |per_second| {
+                Duration::from_secs_f64(f64::from(count) / per_second)
+            });
+        by_slots.max(by_rate)
     }
 
     fn refusal(&self, reason: RefusalReason, work: &Work) -> Refusal {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -82,6 +82,7 @@
 mod headroom;
 mod instance;
 mod limiter;
+mod pacer;
 mod priority;
 mod queue;
 mod run_times;
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -45,6 +45,9 @@
     pub adaptive: bool,
     /// Whether a new gate starts with a low limit that grows.
     pub slow_start: bool,
+    /// Whether the target may name a rate that it takes with its answers, as
+    /// [`Gate::record_answer`](crate::Gate::record_answer) records.
+    pub names_rate: bool,
     /// Acceptable waiting time. A queue whose calls keep waiting longer is a standing queue, which
     /// is a sign of overload.
     pub target_delay: Duration,
@@ -63,6 +66,7 @@
             order: Order::default(),
             adaptive: true,
             slow_start: true,
+            names_rate: false,
             target_delay: Duration::from_millis(5),
         }
     }
@@ -116,6 +120,13 @@
         self
     }
 
+    /// Sets whether the target may name a rate that it takes.
+    #[must_use]
+    pub fn with_named_rate(mut self, names_rate: bool) -> Self {
+        self.names_rate = names_rate;
+        self
+    }
+
     /// Upper bound of the concurrency limit.
     pub(crate) fn ceiling(&self) -> u32 {
         self.slots.min(self.connections).max(1)
--- a/crates/policy/tests/patterns/deep_service.rs
+++ b/crates/policy/tests/patterns/deep_service.rs
@@ -304,7 +304,9 @@
                 queue_delay: run_time * queued / slots,
                 floor: Class::Bulk,
             };
-            target.controller.update(&load, run_time, in_force, at);
+            target
+                .controller
+                .update(f64::from(slots), load.queue_delay, run_time, in_force, at);
             // Each of them answers a call every few milliseconds.
             if now.is_multiple_of(4) {
                 let share = target.controller.share();
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -138,6 +138,22 @@
         self.poll();
     }
 
+    /// Records an answer of the target to a request that was sent at `sent`, with the requests per
+    /// second that the target names. Returns `true` if that rate has changed.
+    pub(crate) fn record_answer(&self, per_second: Option<f64>, sent: Instant) -> bool {
+        let now = Instant::now().into_std();
+        let mut state = self.state.borrow_mut();
+        let changed = state.gate.record_answer(per_second, sent.into_std(), now);
+        drop(state);
+        self.poll();
+        changed
+    }
+
+    /// Records that the target has been replaced.
+    pub(crate) fn record_restart(&self) {
+        self.state.borrow_mut().gate.record_restart();
+    }
+
     /// Returns the current load of the target.
     pub(crate) fn report(&self, now: Instant) -> LoadReport {
         let now = now.into_std();
@@ -145,9 +161,13 @@
         let load = state.gate.load(now);
         state.pressure.observe(&load, now);
         let run_time = state.gate.mean_run_time();
-        state
-            .share
-            .update(&load, run_time, state.service_share, now);
+        state.share.update(
+            state.gate.capacity(),
+            load.queue_delay,
+            run_time,
+            state.service_share,
+            now,
+        );
         LoadReport {
             load,
             run_time,
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -186,6 +186,7 @@
     let id = forward.head.headers.get(&relay.names.request_id).cloned();
     let is_head = forward.is_head();
     let to = relay.cfg.target;
+    let sent = Instant::now();
     let reply = match relay.connection_pool.send(to, forward.into_request()).await {
         Ok(reply) => reply,
         Err(error) => {
@@ -218,7 +219,7 @@
     }
     // An answer of another target at this address says nothing about the local one.
     if head.status != StatusCode::MISDIRECTED_REQUEST {
-        record_notice(relay, TargetNotice::read(&relay.names, &head.headers));
+        record_notice(relay, &head, sent);
     }
     let mut body = if is_head {
         Payload::empty()
@@ -249,10 +250,12 @@
 }
 
 /// Records what the local target says about itself, and logs a change.
-fn record_notice(relay: &Relay, notice: TargetNotice) {
-    let before = relay.target_notice.replace(notice);
-    if notice.limit_per_second != before.limit_per_second {
-        let per_second = notice.limit_per_second;
+fn record_notice(relay: &Relay, head: &Head, sent: Instant) {
+    let before = relay.target_notice.get();
+    let notice = TargetNotice::read(&relay.names, &head.headers, before);
+    relay.target_notice.set(notice);
+    let per_second = notice.limit_per_second;
+    if relay.admission.record_answer(per_second, sent) {
         log::info!(per_second; "limit of the target changed");
     }
     if notice.is_leaving != before.is_leaving {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -182,12 +182,19 @@
     /// Updates everything that is derived from the target list.
     fn apply_targets_change(&self) {
         let mut view = self.view.borrow_mut();
-        view.local_target = view
+        let local = view
             .targets
             .find_at(self.cfg.target, &self.cfg.service)
             .cloned();
+        let start = |target: &Target| (target.id.clone(), target.started_ms);
+        let before = view.local_target.as_ref().map(start);
+        let is_replaced = before.is_some() && before != local.as_ref().map(start);
+        view.local_target = local;
         view.local_target_was_listed |= view.local_target.is_some();
         drop(view);
+        if is_replaced {
+            self.admission.record_restart();
+        }
         let view = self.view.borrow();
         self.daemon_locations
             .replace(DaemonLocations::from_targets(&view.targets));
@@ -310,4 +317,5 @@
         .with_queue(slots.saturating_mul(WAITERS_PER_SLOT))
         .with_adaptive(false)
         .with_slow_start(false)
+        .with_named_rate(true)
 }
--- a/crates/relay/src/target_notice.rs
+++ b/crates/relay/src/target_notice.rs
@@ -14,10 +14,12 @@
 }
 
 impl TargetNotice {
-    /// Reads the headers of an answer. A malformed limit is logged and ignored.
-    pub(crate) fn read(names: &HeaderNames, headers: &HeaderMap) -> Self {
+    /// Reads the headers of an answer. A malformed limit is logged and changes nothing.
+    pub(crate) fn read(names: &HeaderNames, headers: &HeaderMap, before: TargetNotice) -> Self {
+        let limit = headers.get(&names.rate_limit);
         TargetNotice {
-            limit_per_second: headers.get(&names.rate_limit).and_then(parse_limit),
+            limit_per_second: limit
+                .and_then(|value| parse_limit(value).or(before.limit_per_second)),
             is_leaving: headers
                 .get(&names.leaving)
                 .is_some_and(|value| value.as_bytes().trim_ascii() == b"1"),
