Send nothing more to a target that has said that it leaves

Callers saw requests cut off or sent elsewhere late: a target that leaves says so in each answer, but got new requests for as long as the target list called it ready, which may be long while the store or the readers are out of reach.

Cause: the list was the only source of a target's state.

Change: both who hears it remember it: the daemon beside the target refuses from then on, and each daemon at which the request began no longer picks the target, also after a restart of the daemon beside it. The target counts as draining until it is started again, by its start time, or by its count of reports where it tells no start; its entry may go and come back in between.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::piggyback::{self, TargetReport};
 use crate::relay::Relay;
 use crate::responses::{service_unavailable, status_only};
+use crate::target_notice;
 
 /// Retry delay for callers if no target of the service is known.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -234,6 +235,11 @@
         if let Some(report) = &report {
             piggyback::record_report(self.relay, service, &target.id, report);
         }
+        if let ForwardOutcome::Answered { head, .. } = &outcome
+            && target_notice::says_leaving(&self.relay.names, &head.headers)
+        {
+            self.relay.mark_leaving(target);
+        }
         self.relay.metrics.record_send(match &outcome {
             ForwardOutcome::Answered { .. } => "answered",
             ForwardOutcome::NotRun { .. } => "not_run",
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -258,8 +258,11 @@
     if relay.admission.record_answer(per_second, sent) {
         log::info!(per_second; "limit of the target changed");
     }
-    if notice.is_leaving != before.is_leaving {
-        log::info!(leaving = notice.is_leaving; "leaving state of the target changed");
+    if notice.is_leaving {
+        let local = relay.view.borrow().local_target.clone();
+        if let Some(local) = local {
+            relay.mark_leaving(&local);
+        }
     }
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -169,6 +169,16 @@
         result
     }
 
+    /// Records that a target said in an answer that it is leaving, so that it gets no more requests
+    /// from here.
+    pub(crate) fn mark_leaving(&self, target: &Target) {
+        let news = self.view.borrow_mut().mark_leaving(target, Instant::now());
+        if news {
+            log::info!(target_id = target.id.as_str(); "target says that it is leaving");
+            self.apply_targets_change();
+        }
+    }
+
     /// Removes targets that have been missing from the list for too long.
     pub(crate) fn expire_targets(&self, now: Instant) {
         let expired = self.view.borrow_mut().expire(now);
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -95,6 +95,16 @@
         expired
     }
 
+    /// Records that a target said in an answer that it is leaving; `true` if that is news.
+    pub(crate) fn mark_leaving(&mut self, target: &Target, now: Instant) -> bool {
+        let now = now.into_std();
+        let news = self.active_targets.mark_leaving(target, now);
+        if news {
+            self.targets = self.active_targets.snapshot();
+        }
+        news
+    }
+
     /// Records that this daemon could not read the target list.
     pub(crate) fn mark_targets_unreachable(&mut self) {
         self.active_targets.mark_unreachable();
--- a/crates/routes/src/active_targets.rs
+++ b/crates/routes/src/active_targets.rs
@@ -5,7 +5,7 @@
 
 use model::InstanceId;
 
-use crate::target::{Target, Targets};
+use crate::target::{Target, TargetState, Targets};
 
 /// Time after an outage of the list within which a live target is listed again, if its entry
 /// expired during the outage.
@@ -31,6 +31,9 @@
     missing: HashSet<InstanceId>,
     /// Removed targets with the last report of each and the time of its removal.
     removed: HashMap<InstanceId, (Report, Instant)>,
+    /// Targets that said in an answer that they are leaving, with the last report of each before
+    /// that and the time of the answer.
+    leaving: HashMap<InstanceId, (Report, Instant)>,
     reachability: Reachability,
     last_read: Option<Instant>,
     /// When the list was last restored from an older copy.
@@ -51,6 +54,16 @@
             count: target.report_count,
         }
     }
+
+    /// True if a later report comes from a later start of the target. Where targets don't report
+    /// their start, their count begins again.
+    fn is_of_earlier_start(self, later: Report) -> bool {
+        if later.started_ms == 0 {
+            later.count < self.count
+        } else {
+            later.started_ms > self.started_ms
+        }
+    }
 }
 
 /// Whether the target list can be read.
@@ -92,6 +105,18 @@
         };
     }
 
+    /// Records that a target said in an answer that it is leaving. It counts as draining until it is
+    /// started again, whatever state is listed. Returns `true` if that is news.
+    pub fn mark_leaving(&mut self, target: &Target, now: Instant) -> bool {
+        let report = Report::of(target);
+        let present = self.present.get(&target.id).map(Report::of);
+        if present.is_some_and(|present| report.is_of_earlier_start(present)) {
+            return false;
+        }
+        let mark = (present.unwrap_or(report), now);
+        self.leaving.insert(target.id.clone(), mark).is_none()
+    }
+
     /// Applies a newly read list. Returns `true` if the set of targets changed, or a target in
     /// more than the fields that change with every report.
     ///
@@ -108,6 +133,7 @@
         let unlisted = |id: &&InstanceId| listed.get(id).is_none();
         self.missing = self.present.keys().filter(unlisted).cloned().collect();
         let mut changed = self.expire(now);
+        changed |= self.forget_leaving(listed, now);
         for target in listed.iter() {
             if self.is_outdated(target, now) {
                 continue;
@@ -118,6 +144,21 @@
         changed
     }
 
+    /// Forgets that targets are leaving which have been started again, or were removed long ago.
+    /// Returns `true` if there were any.
+    fn forget_leaving(&mut self, listed: &Targets, now: Instant) -> bool {
+        let before = self.leaving.len();
+        let present = &self.present;
+        self.leaving.retain(|id, (report, at)| {
+            let is_recent = now.saturating_duration_since(*at) < REMOVED_RETENTION;
+            let is_restarted = listed
+                .get(id)
+                .is_some_and(|target| report.is_of_earlier_start(Report::of(target)));
+            !is_restarted && (is_recent || present.contains_key(id))
+        });
+        self.leaving.len() < before
+    }
+
     /// Removes unlisted targets, unless the list is unreachable or the grace period is running.
     /// Returns `true` if any were removed.
     pub fn expire(&mut self, now: Instant) -> bool {
@@ -160,10 +201,17 @@
         self.present.values()
     }
 
-    /// Copies all targets in use.
+    /// Copies all targets in use. Those that said that they are leaving are draining.
     #[must_use]
     pub fn snapshot(&self) -> Targets {
-        self.present.values().cloned().collect()
+        let targets = self.present.values().cloned();
+        let with_state = targets.map(|mut target| {
+            if self.leaving.contains_key(&target.id) {
+                target.state = TargetState::Draining;
+            }
+            target
+        });
+        with_state.collect()
     }
 }
 
--- a/crates/routes/tests/active_targets.rs
+++ b/crates/routes/tests/active_targets.rs
@@ -183,3 +183,77 @@
     assert!(present(&active).contains(&"c".to_owned()));
     assert_eq!(state(&active, "b"), Some(TargetState::Draining));
 }
+
+fn states(active: &ActiveTargets) -> Vec<(String, TargetState)> {
+    let snapshot = active.snapshot();
+    let mut states: Vec<_> = snapshot
+        .iter()
+        .map(|target| (target.id.to_string(), target.state))
+        .collect();
+    states.sort_by(|one, other| one.0.cmp(&other.0));
+    states
+}
+
+/// Guards against the use of a target that has said that it leaves but is listed as ready.
+#[test]
+fn a_target_that_said_it_leaves_is_draining_until_it_is_started_again() {
+    let now = Instant::now();
+    let mut active = ActiveTargets::default();
+    active.update(&list(&["a", "b"]), now);
+    assert!(active.mark_leaving(&target("a"), now));
+    assert!(!active.mark_leaving(&target("a"), now));
+    let draining = [
+        ("a".to_owned(), TargetState::Draining),
+        ("b".to_owned(), TargetState::Ready),
+    ];
+    assert_eq!(states(&active), draining);
+    // Neither a later report nor its return after an outage changes that.
+    active.update(&list(&["b"]), now + SECOND);
+    active.update(&list(&["a", "b"]), now + 2 * SECOND);
+    assert_eq!(states(&active), draining);
+    let mut restarted = target("a");
+    restarted.started_ms = 2_000;
+    let later = [restarted, target("b")].into_iter().collect();
+    assert!(active.update(&later, now + 3 * SECOND));
+    assert_eq!(states(&active)[0].1, TargetState::Ready);
+}
+
+#[test]
+fn a_target_that_reports_no_start_is_started_again_when_its_count_begins_anew() {
+    let now = Instant::now();
+    let target = |count| {
+        let mut target = target("a");
+        (target.started_ms, target.report_count) = (0, count);
+        target
+    };
+    let reported = |count| [target(count)].into_iter().collect::<Targets>();
+    let mut active = ActiveTargets::default();
+    active.update(&reported(7), now);
+    active.mark_leaving(&target(7), now);
+    active.update(&reported(8), now + SECOND);
+    assert_eq!(states(&active)[0].1, TargetState::Draining);
+    active.update(&reported(1), now + 2 * SECOND);
+    assert_eq!(states(&active)[0].1, TargetState::Ready);
+}
+
+#[test]
+fn an_answer_of_an_earlier_start_says_nothing_about_a_target() {
+    let now = Instant::now();
+    let mut active = ActiveTargets::default();
+    active.update(&list(&["a"]), now);
+    let mut earlier = target("a");
+    earlier.started_ms = 999;
+    assert!(!active.mark_leaving(&earlier, now));
+    assert_eq!(states(&active)[0].1, TargetState::Ready);
+}
+
+#[test]
+fn a_target_that_said_it_leaves_while_unlisted_is_draining_when_it_returns() {
+    let now = Instant::now();
+    let mut active = ActiveTargets::default();
+    active.update(&list(&["a", "b"]), now);
+    active.update(&list(&["b"]), now + SECOND);
+    active.mark_leaving(&target("a"), now + SECOND);
+    active.update(&list(&["a", "b"]), now + 2 * SECOND);
+    assert_eq!(states(&active)[0].1, TargetState::Draining);
+}
