--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -254,8 +254,9 @@
     let before = relay.target_notice.get();
     let notice = TargetNotice::read(&relay.names, &head.headers, before);
     relay.target_notice.set(notice);
-    let per_second = notice.limit_per_second;
-    if relay.admission.record_answer(per_second, sent) {
+    if relay.admission.record_answer(notice.limit_per_second, sent) {
+        let per_second = notice.limit_per_second;
+        let per_second = per_second.map_or("none".to_owned(), |limit| limit.to_string());
         log::info!(per_second; "limit of the target changed");
     }
     if notice.is_leaving {
