Let more calls run in a target whose first answers are slow to come

Until a target has answered once, four calls run at most. Where these wait for calls that they make, and those need a slot of a target in the same state, neither would get on before its deadline. One more call may run each 250 ms, and calls of begun runs go before new ones, so the circle opens.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -156,7 +156,7 @@
     /// Never returns.
     pub(crate) async fn run_timers(&self) {
         loop {
-            let wakeup = self.lock().gate.next_wakeup();
+            let wakeup = self.lock().gate.next_wakeup(Instant::now());
             match wakeup {
                 Some(at) => tokio::select! {
                     () = tokio::time::sleep_until(at.into()) => {}
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -18,8 +18,6 @@
 
 /// Shortest retry-after time of a refusal, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
-/// Calls that may run in a target that may name a rate and has not answered yet.
-const MAX_BEFORE_ANSWER: u32 = 4;
 /// Longest retry-after time of a refusal, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -134,7 +132,7 @@
             let refusal = self.refusal(RefusalReason::Deadline, &work);
             events.push(QueueEvent::Refuse(key, refusal));
         }
-        while self.queue.len() > self.max_queued() {
+        while self.queue.len() > self.max_queued(now) {
             let Some((key, refusal)) = self.shed_lowest(RefusalReason::Overloaded, now) else {
                 break;
             };
@@ -158,12 +156,19 @@
     }
 
     /// Returns when [`poll`](Gate::poll) is to be called next although no call ends: when the next
-    /// waiter expires, or may start at the rate of the target.
+    /// waiter expires, may start at the rate of the target, or may get a slot of a target that has
+    /// not answered yet.
     #[must_use]
-    pub fn next_wakeup(&self) -> Option<Instant> {
-        let highest = self.queue.highest();
-        let paced = highest.filter(|highest| self.has_slot(highest.class()));
-        let next_start = paced.and_then(|_| self.pacer.next_start());
+    pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
+        let next_start = self.queue.highest().and_then(|highest| {
+            if self.has_slot(highest.class(), now) {
+                self.pacer.next_start()
+            } else if self.cfg.names_rate {
+                self.pacer.next_growth(now)
+            } else {
+                None
+            }
+        });
         next_start.into_iter().chain(self.queue.next_expiry()).min()
     }
 
@@ -173,7 +178,7 @@
         let queued = self.queue.len();
         Load {
             in_flight: self.in_flight,
-            limit: self.effective_limit(),
+            limit: self.effective_limit(now),
             queued,
             queue_delay: self.time_to_start(queued, self.times.mean()),
             floor: self.standing_queues.admitted_floor(now),
@@ -183,8 +188,8 @@
     /// Returns the number of calls that may run at the same time: the concurrency limit, or fewer
     /// if the rate of the target starts no more within their mean run time.
     #[must_use]
-    pub fn capacity(&self) -> f64 {
-        let limit = f64::from(self.slots());
+    pub fn capacity(&self, now: Instant) -> f64 {
+        let limit = f64::from(self.slots(now));
         let run_time = self.times.mean().as_secs_f64();
         match self.pacer.per_second() {
             Some(per_second) if run_time > 0.0 => limit.min(per_second * run_time),
@@ -211,44 +216,44 @@
     }
 
     fn may_start(&self, class: Class, now: Instant) -> bool {
-        self.pacer.is_ready(now) && self.has_slot(class)
+        self.pacer.is_ready(now) && self.has_slot(class, now)
     }
 
-    /// Calls that may run concurrently, regardless of the rate. Until the target has answered once,
-    /// it may have a limit that this daemon doesn't know, as after a restart of the daemon.
-    fn slots(&self) -> u32 {
+    /// Calls that may run concurrently, regardless of the rate: fewer before the target has answered
+    /// once, as a restarted daemon doesn't know its limit.
+    fn slots(&self, now: Instant) -> u32 {
         let limit = self.limiter.limit();
-        if self.cfg.names_rate && !self.pacer.has_answered() {
-            limit.min(MAX_BEFORE_ANSWER)
-        } else {
-            limit
+        let before_answer = self.pacer.max_before_answer(now);
+        match before_answer.filter(|_| self.cfg.names_rate) {
+            Some(max) => limit.min(max),
+            None => limit,
         }
     }
 
     /// [`capacity`](Self::capacity) in whole calls.
-    fn effective_limit(&self) -> u32 {
+    fn effective_limit(&self, now: Instant) -> u32 {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "the value lies between 0 and the slots"
         )]
-        let limit = self.capacity().ceil() as u32;
+        let limit = self.capacity(now).ceil() as u32;
         limit.max(1)
     }
 
     /// Maximum number of queued calls: as many for each call that may run as configured.
-    fn max_queued(&self) -> u32 {
+    fn max_queued(&self, now: Instant) -> u32 {
         if self.pacer.per_second().is_none() {
             return self.cfg.queue;
         }
         let per_slot = (self.cfg.queue / self.cfg.ceiling()).max(1);
         self.cfg
             .queue
-            .min(self.effective_limit().saturating_mul(per_slot))
+            .min(self.effective_limit(now).saturating_mul(per_slot))
     }
 
-    fn has_slot(&self, class: Class) -> bool {
-        let limit = self.slots();
+    fn has_slot(&self, class: Class, now: Instant) -> bool {
+        let limit = self.slots(now);
         let reserve = self.headroom.reserve(class, limit, self.cfg.headroom);
         self.in_flight + reserve < limit
     }
@@ -273,7 +278,7 @@
         priority: Priority,
         now: Instant,
     ) -> Result<Option<(WaiterKey, Refusal)>, Refusal> {
-        if self.queue.len() < self.max_queued() {
+        if self.queue.len() < self.max_queued(now) {
             return Ok(None);
         }
         let bucket = Bucket::new(priority, work.shed_hash);
--- a/crates/policy/src/pacer.rs
+++ b/crates/policy/src/pacer.rs
@@ -8,6 +8,11 @@
 /// Lowest pace, in calls per second. A target that takes nothing still gets a call now and then,
 /// whose answer shows whether it takes more.
 const MIN_RATE: f64 = 0.5;
+/// Calls that may run in a target that has not answered yet.
+const MAX_BEFORE_ANSWER: u32 = 4;
+/// Interval at which that number grows. The first calls may wait for calls that they make, which in
+/// turn need a slot here.
+const GROWTH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Spaces the calls to one target by the rate that it names with its answers.
 ///
@@ -17,6 +22,8 @@
 pub(crate) struct Pacer {
     limit: Option<Limit>,
     has_answered: bool,
+    /// When the first call started.
+    first_start: Option<Instant>,
 }
 
 /// The rate that a target named last.
@@ -40,6 +47,7 @@
         Pacer {
             limit: None,
             has_answered: false,
+            first_start: None,
         }
     }
 
@@ -75,9 +83,24 @@
         before.map(|before| before.per_second) != Some(limit.per_second)
     }
 
-    /// True if the target has answered, so that it would have named its limit.
-    pub(crate) fn has_answered(&self) -> bool {
-        self.has_answered
+    /// Returns how many calls may run while the target has not answered, as it may have a limit
+    /// that is not known yet; `None` once it has answered.
+    pub(crate) fn max_before_answer(&self, now: Instant) -> Option<u32> {
+        if self.has_answered {
+            return None;
+        }
+        let elapsed = self
+            .first_start
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let grown = elapsed.as_millis() / GROWTH_INTERVAL.as_millis();
+        Some(MAX_BEFORE_ANSWER.saturating_add(u32::try_from(grown).unwrap_or(u32::MAX)))
+    }
+
+    /// Returns when [`max_before_answer`](Self::max_before_answer) grows next.
+    pub(crate) fn next_growth(&self, now: Instant) -> Option<Instant> {
+        let max = self.max_before_answer(now)?;
+        let steps = max - MAX_BEFORE_ANSWER + 1;
+        Some(self.first_start? + GROWTH_INTERVAL * steps)
     }
 
     /// Rate that the target names, in calls per second.
@@ -97,6 +120,7 @@
 
     /// Records that a call starts.
     pub(crate) fn record_start(&mut self, now: Instant) {
+        self.first_start.get_or_insert(now);
         if let Some(limit) = &mut self.limit {
             limit.due = limit.due.max(now) + limit.interval();
         }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -162,7 +162,7 @@
         state.pressure.observe(&load, now);
         let run_time = state.gate.mean_run_time();
         state.share.update(
-            state.gate.capacity(),
+            state.gate.capacity(now),
             load.queue_delay,
             run_time,
             state.service_share,
@@ -269,8 +269,9 @@
         const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
         let mut logged = Pressure::default();
         loop {
-            let next = self.state.borrow().gate.next_wakeup();
-            let sample_at = Instant::now() + SAMPLE_INTERVAL;
+            let now = Instant::now();
+            let next = self.state.borrow().gate.next_wakeup(now.into_std());
+            let sample_at = now + SAMPLE_INTERVAL;
             let at = next.map_or(sample_at, |at| Instant::from_std(at).min(sample_at));
             tokio::select! {
                 () = tokio::time::sleep_until(at) => {
