--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -257,7 +257,7 @@
     if relay.admission.record_answer(notice.limit_per_second, sent) {
         let per_second = notice.limit_per_second;
         let per_second = per_second.map_or("none".to_owned(), |limit| limit.to_string());
-        log::info!(per_second; "limit of the target changed");
+        log::info!(per_second = per_second.as_str(); "limit of the target changed");
     }
     if notice.is_leaving {
         let local = relay.view.borrow().local_target.clone();
