Let the load of a target that names a limit fade in place of ending

Cause: a reported load counts for half a second. A target that takes 27 requests a second answers each of 16 origins 1.7 times a second, so it looked idle in between and got a queue, which lowered the share of the whole service that the origins admit.

Change: the origin sees the limit in the answer; from then on the target's last load halves each half second after its time, in place of ending. Targets that name no limit are judged as before.

--- a/crates/policy/src/instance.rs
+++ b/crates/policy/src/instance.rs
@@ -12,6 +12,8 @@
 
 /// Age after which a reported load is ignored.
 const LOAD_TTL: Duration = Duration::from_millis(500);
+/// Time in which the load of an instance that names a rate halves after that age.
+const STALE_LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
 /// Free slots assumed for an instance without a recent load report.
 const DEFAULT_FREE_SLOTS: u32 = 1;
 /// Slots that a queued call takes from the weight of the local data centre: its own and that of
@@ -52,6 +54,8 @@
     last_activity: Option<Instant>,
     /// Mean run time, as reported by the instance.
     pub(crate) run_time: Option<Duration>,
+    /// True if the instance's target named a rate that it takes with its last answer.
+    pub(crate) names_rate: bool,
     pub(crate) failure_score: FailureScore,
     pub(crate) error_rate: ErrorRate,
 }
@@ -73,6 +77,7 @@
             sent_since_report: 0,
             last_activity: None,
             run_time: None,
+            names_rate: false,
             failure_score: FailureScore::default(),
             error_rate: ErrorRate::default(),
         }
@@ -157,14 +162,27 @@
     /// Estimated number of calls that run or wait in the instance: those reported plus those sent
     /// since, and at least those of this daemon.
     pub(crate) fn occupancy(&self, now: Instant) -> u32 {
-        let reported = self.fresh_load(now).map_or(0, |load| {
-            load.in_flight
-                .saturating_add(load.queued)
-                .saturating_add(self.sent_since_report)
-        });
+        let reported = if self.names_rate {
+            self.fading_load(now)
+        } else {
+            let fresh = self.fresh_load(now);
+            fresh.map(|load| load.in_flight.saturating_add(load.queued))
+        };
+        let reported = reported.map_or(0, |work| work.saturating_add(self.sent_since_report));
         reported.max(self.in_flight)
     }
 
+    /// Last reported number of calls that run or wait, which fades once the report is too old. A
+    /// target that names a rate answers each of its callers so rarely that it would look idle
+    /// between two reports.
+    fn fading_load(&self, now: Instant) -> Option<u32> {
+        let (load, at) = self.load.as_ref()?;
+        let work = u64::from(load.in_flight) + u64::from(load.queued);
+        let stale_for = now.saturating_duration_since(*at).saturating_sub(LOAD_TTL);
+        let faded = decayed(work, stale_for, STALE_LOAD_HALF_LIFE);
+        Some(u32::try_from(faded).unwrap_or(u32::MAX))
+    }
+
     /// Last reported load, of any age.
     pub(crate) fn last_load(&self) -> Option<&Load> {
         self.load.as_ref().map(|(load, _)| load)
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Records whether the target of an instance named a rate that it takes with its answer.
+    pub fn report_named_rate(&mut self, key: InstanceKey, names_rate: bool) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.names_rate = names_rate;
+        }
+    }
+
     /// Spare capacity that the instances of the local data centre report in total. If it has no
     /// instances, those of the other data centres count instead.
     #[must_use]
--- a/crates/policy/tests/least_cost.rs
+++ b/crates/policy/tests/least_cost.rs
@@ -169,3 +169,52 @@
     let later = start + 1_100 * MS;
     assert_eq!(pick(&mut router, &[], later), key);
 }
+
+/// Guards against a queue at a target that names a rate: between two of its rare answers it would
+/// look idle to each caller.
+#[test]
+fn a_full_instance_that_names_a_rate_is_not_idle_once_its_report_is_old() {
+    let start = Instant::now();
+    let is_used_after = |names_rate: bool, age: Duration| {
+        let mut router = router(start);
+        let load = |in_flight| Load {
+            in_flight,
+            limit: 8,
+            queued: in_flight,
+            queue_delay: Duration::ZERO,
+            floor: Class::Bulk,
+        };
+        for (id, work) in [("caja-0", 8), ("caja-1", 0), ("caja-2", 0), ("caja-3", 0)] {
+            let mut others = Vec::new();
+            let key = loop {
+                let key = pick(&mut router, &others, start);
+                if router
+                    .instance(key)
+                    .is_some_and(|picked| picked.as_str() == id)
+                {
+                    break key;
+                }
+                router.finish(key, CallOutcome::Cancelled, Duration::ZERO, None, start);
+                others.push(key);
+            };
+            router.report_run_time(key, 100 * MS);
+            router.report_named_rate(key, names_rate && id == "caja-0");
+            router.finish(
+                key,
+                CallOutcome::Answered,
+                100 * MS,
+                Some(load(work)),
+                start,
+            );
+        }
+        let key = pick(&mut router, &[], start + age);
+        router
+            .instance(key)
+            .is_some_and(|picked| picked.as_str() == "caja-0")
+    };
+    assert!(is_used_after(false, 600 * MS));
+    assert!(!is_used_after(true, 600 * MS));
+    assert!(!is_used_after(true, 1_100 * MS));
+    // It is tried again after a while.
+    assert!(is_used_after(true, 4_000 * MS));
+}
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::piggyback::{self, TargetReport};
 use crate::relay::Relay;
 use crate::responses::{service_unavailable, status_only};
-use crate::target_notice;
+use crate::target_notice::TargetNotice;
 
 /// Retry delay for callers if no target of the service is known.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -235,10 +235,16 @@
         if let Some(report) = &report {
             piggyback::record_report(self.relay, service, &target.id, report);
         }
-        if let ForwardOutcome::Answered { head, .. } = &outcome
-            && target_notice::says_leaving(&self.relay.names, &head.headers)
-        {
-            self.relay.mark_leaving(target);
+        if let ForwardOutcome::Answered { head, .. } = &outcome {
+            let notice =
+                TargetNotice::read(&self.relay.names, &head.headers, TargetNotice::default());
+            self.relay.with_service(service, |state| {
+                let names_rate = notice.limit_per_second.is_some();
+                state.router.report_named_rate(key, names_rate);
+            });
+            if notice.is_leaving {
+                self.relay.mark_leaving(target);
+            }
         }
         self.relay.metrics.record_send(match &outcome {
             ForwardOutcome::Answered { .. } => "answered",
--- a/crates/relay/src/target_notice.rs
+++ b/crates/relay/src/target_notice.rs
@@ -20,17 +20,13 @@
         TargetNotice {
             limit_per_second: limit
                 .and_then(|value| parse_limit(value).or(before.limit_per_second)),
-            is_leaving: says_leaving(names, headers),
+            is_leaving: headers
+                .get(&names.leaving)
+                .is_some_and(|value| value.as_bytes().trim_ascii() == b"1"),
         }
     }
 }
 
-/// True if the target that gave an answer is leaving.
-pub(crate) fn says_leaving(names: &HeaderNames, headers: &HeaderMap) -> bool {
-    let value = headers.get(&names.leaving);
-    value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
-}
-
 fn parse_limit(value: &HeaderValue) -> Option<f64> {
     let limit = value.to_str().ok()?.trim().parse::<f64>().ok();
     let limit = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
