--- a/crates/fleet/tests/revisions.rs
+++ b/crates/fleet/tests/revisions.rs
@@ -25,6 +25,23 @@
     assert!(time <= Some(SECOND) && time.is_some(), "{time:?}");
 }
 
+/// Guards against a revision that is in force late since every reader waits for a watch whose
+/// connection went silent.
+#[test]
+fn a_revision_reaches_all_in_time_while_all_watches_are_silent() {
+    /// Bound within which a revision is to be in force everywhere.
+    const BOUND: Duration = Duration::from_secs(4);
+
+    let mut sim = Simulation::new(12, 3, 1);
+    sim.run(5 * SECOND);
+    sim.publish(&document(2, 10));
+    sim.run(5 * SECOND);
+    sim.lose_waiting_reads();
+    sim.publish(&document(3, 10));
+    let time = sim.run_until(60 * SECOND, |s| s.all_at_revision(3));
+    assert!(time.is_some_and(|time| time <= BOUND), "{time:?}");
+}
+
 #[test]
 fn skipped_revision_numbers_are_accepted_and_older_revisions_are_not() {
     let mut sim = Simulation::new(12, 3, 2);
--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -41,8 +41,13 @@
     kind: Kind,
     after: Option<u64>,
     deadline: Instant,
+    /// True if the answer is lost; the reader notices that [`ANSWER_GRACE`] after the deadline.
+    is_lost: bool,
 }
 
+/// Time that a reader allows for an answer beyond the wait, as the daemon's client does.
+const ANSWER_GRACE: Duration = Duration::from_secs(5);
+
 /// Behaviour of the network.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct NetworkConditions {
@@ -210,6 +215,13 @@
         self.answer_pending_reads(Kind::Document);
     }
 
+    /// Loses the answers of all reads that are waiting now.
+    pub(crate) fn lose_waiting_reads(&mut self) {
+        for pending in &mut self.pending_reads {
+            pending.is_lost = true;
+        }
+    }
+
     /// Changes the listed state of one instance in a new version of the list.
     pub(crate) fn set_listed_state(&mut self, at: usize, state: ListedState) {
         self.list.version += 1;
@@ -388,6 +400,7 @@
             kind,
             after: read.after,
             deadline: self.now + read.wait,
+            is_lost: false,
         });
         self.answer_pending_reads(kind);
     }
@@ -410,8 +423,13 @@
     fn answer_pending_reads(&mut self, kind: Kind) {
         let (revision, bytes) = self.content(kind);
         for pending in std::mem::take(&mut self.pending_reads) {
-            let result = if !self.platform_up {
+            let result = if !self.platform_up
+                || pending.is_lost && pending.deadline + ANSWER_GRACE <= self.now
+            {
                 ReadResult::Failed
+            } else if pending.is_lost {
+                self.pending_reads.push(pending);
+                continue;
             } else if pending.kind == kind
                 && (self.platform_ignores_after || pending.after < Some(revision))
             {
