Log that a target ended, and which requests were in flight

The logs couldn't tell a request that comes again from others, nor the end of a target from the loss of a connection. A request now has a fingerprint over method, host, path, caller and body. When a request's connection breaks, the daemon beside the target tries to connect; a refusal means that the target ended, and one line names the fingerprints in flight. The line of a lost answer at the origin has the fingerprint too.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 * [`settings`]: settings of a gate
 * [`work`]: calls offered to a gate, its decisions and its events
 * [`fates`]: whether a send whose answer was lost has started to run
+* [`fingerprint`]: identity of a request that comes again under another id
 * [`dependencies`]: services that requests of a route depend on, inferred from calls
 * [`load`]: load that a daemon reports to others
 * [`budget`]: limit on the retries of one request over its whole call tree
@@ -64,6 +65,7 @@
 pub mod dependencies;
 pub mod edge;
 pub mod fates;
+pub mod fingerprint;
 pub mod gate;
 pub mod load;
 pub mod origins;
@@ -101,6 +103,7 @@
 pub use crate::dependencies::{MatchedRun, RequestKind, RouteDependencies};
 pub use crate::edge::EdgeRetries;
 pub use crate::fates::{Fates, SendKey};
+pub use crate::fingerprint::Fingerprint;
 pub use crate::gate::Gate;
 pub use crate::load::{Load, MalformedLoad};
 pub use crate::origins::{DaemonCounts, Location, RouteOrigins};
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use http::{Response, StatusCode};
 use model::{Class, InstanceId, Refusal, RefusalReason, ServiceName};
-use policy::{CallOutcome, InstanceKey, Pick, RootRequest, Shed};
+use policy::{CallOutcome, Fingerprint, InstanceKey, Pick, RootRequest, Shed};
 use routes::{Idempotency, Target};
 use tokio::time::Instant;
 use wire::Hop;
@@ -55,6 +55,7 @@
     last_target: &'a RefCell<Option<InstanceId>>,
     /// True after a send whose outcome is unknown.
     may_have_run: bool,
+    fingerprint: Fingerprint,
 }
 
 /// Reaction to the outcome of one send.
@@ -69,6 +70,7 @@
     pub(crate) fn new(
         relay: &'a Rc<Relay>,
         request: OriginRequest,
+        fingerprint: Fingerprint,
         last_target: &'a RefCell<Option<InstanceId>>,
     ) -> Self {
         Dispatch {
@@ -78,6 +80,7 @@
             target_sends: 0,
             last_target,
             may_have_run: false,
+            fingerprint,
         }
     }
 
@@ -297,6 +300,7 @@
                     route = self.request.route.name.as_str(),
                     service = service.as_str(),
                     target_id:% = self.last_target.borrow().clone().unwrap_or_default(),
+                    fingerprint:% = self.fingerprint,
                     is_call = self.request.is_call,
                     arrivals = self.target_sends,
                     held_ms = millis(self.request.arrived.elapsed()),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod source;
 pub mod start;
 mod sync;
+mod target_end;
 mod target_notice;
 mod view;
 
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -5,9 +5,9 @@
 
 use http::request::Parts;
 use http::response::Parts as Head;
-use http::{HeaderValue, Method, Request, StatusCode, Uri};
+use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
 use model::{Refusal, RefusalReason};
-use policy::{Run, RunOutcome, SendKey, Work};
+use policy::{Fingerprint, Run, RunOutcome, SendKey, Work};
 use tokio::time::Instant;
 use wire::Hop;
 
@@ -15,9 +15,11 @@
 use crate::connection_pool::{Reply, SendError};
 use crate::fate;
 use crate::guards::{InFlightGuard, RunGuard};
+use crate::header_names::HeaderNames;
 use crate::headers::strip_hop_by_hop;
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
+use crate::target_end;
 use crate::target_notice::TargetNotice;
 
 /// Retry delay of a request that the local target can't run or refuses, such as when it is leaving.
@@ -72,6 +74,27 @@
         Some(ForwardedRequest { head, body })
     }
 
+    /// Identifies the request among those that its caller sends under other ids. Of a streamed body
+    /// only the bytes read so far are known.
+    pub(crate) fn fingerprint(&self, names: &HeaderNames) -> Fingerprint {
+        let headers = &self.head.headers;
+        let bytes = |name| headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
+        let path = self.head.uri.path_and_query();
+        let length = if matches!(self.body, Payload::Streamed { .. }) {
+            bytes(&header::CONTENT_LENGTH)
+        } else {
+            b""
+        };
+        Fingerprint::of(&[
+            self.head.method.as_str().as_bytes(),
+            &bytes(&header::HOST).to_ascii_lowercase(),
+            path.map_or("", |path| path.as_str()).as_bytes(),
+            bytes(&names.origin_service),
+            length,
+            self.body.known_bytes(),
+        ])
+    }
+
     /// Converts it to a request whose URI is in origin form.
     pub(crate) fn into_request(self) -> Request<Payload> {
         let mut req = Request::new(self.body);
@@ -184,6 +207,7 @@
     run: RunGuard,
 ) -> ForwardOutcome {
     let id = forward.head.headers.get(&relay.names.request_id).cloned();
+    let fingerprint = forward.fingerprint(&relay.names);
     let is_head = forward.is_head();
     let to = relay.cfg.target;
     let sent = Instant::now();
@@ -196,7 +220,10 @@
                 SendError::NotSent(_) => {
                     ForwardOutcome::not_run(RefusalReason::NoInstance, LOCAL_REFUSAL_RETRY_AFTER)
                 }
-                SendError::Broken(why) => ForwardOutcome::Unknown { why },
+                SendError::Broken(why) => {
+                    target_end::record_broken_run(relay, fingerprint).await;
+                    ForwardOutcome::Unknown { why }
+                }
             };
         }
     };
@@ -228,6 +255,7 @@
             Ok(body) => body,
             Err(error) => {
                 slot.finish(RunOutcome::Failed);
+                target_end::record_broken_run(relay, fingerprint).await;
                 return ForwardOutcome::Unknown {
                     why: format!("the answer broke off: {error}"),
                 };
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -87,7 +87,8 @@
             head: forwarded_head(relay, head),
             body,
         };
-        Dispatch::new(relay, request, &last_target)
+        let fingerprint = forward.fingerprint(&relay.names);
+        Dispatch::new(relay, request, fingerprint, &last_target)
             .run(forward)
             .await
     });
--- a/crates/relay/src/payload.rs
+++ b/crates/relay/src/payload.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Returns the bytes that are in memory: all of a buffered body, the first ones of a streamed one.
+    pub(crate) fn known_bytes(&self) -> &[u8] {
+        match self {
+            Payload::Buffered(bytes) => bytes,
+            Payload::Streamed { prefix, .. } => prefix,
+        }
+    }
+
     /// Holds a value until a streamed body has ended. Returns `false` if the body is buffered;
     /// then the value is dropped at once.
     pub(crate) fn keep_until_end(&mut self, guard: Box<dyn std::any::Any>) -> bool {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::service::ServiceState;
 use crate::settings::Settings;
 use crate::source::{Document, Parsers, PublishedState};
+use crate::target_end::EndDetector;
 use crate::target_notice::TargetNotice;
 use crate::view::{UpdateResult, View};
 
@@ -73,6 +74,7 @@
     pub(crate) life: u64,
     pub(crate) known_daemons: KnownDaemons,
     pub(crate) fates: RefCell<Fates>,
+    pub(crate) target_end: EndDetector,
     /// What the local target said about itself last.
     pub(crate) target_notice: Cell<TargetNotice>,
     pub(crate) phase: Cell<Phase>,
@@ -115,6 +117,7 @@
             life: rand::random(),
             known_daemons: KnownDaemons::default(),
             fates: RefCell::new(Fates::default()),
+            target_end: EndDetector::default(),
             target_notice: Cell::new(TargetNotice::default()),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
