Hold back a request that crashes the targets that run it

What callers saw: all targets of a service ended again and again, and with them all requests in flight there. Cause: nothing remembered what a request did to the targets that ran it. A lost answer was `outcome unknown`, each daemon decided on the next send from scratch, and the next attempt came under a new id to any machine.

Change: the daemon beside a target that ends reports the requests in flight, by fingerprint. Reports are merged in any order. A request's own record travels with it and with its answer; the rest is passed on to four daemons by each that learns something new, and daemons whose digests differ fetch what they lack. policy::Crashes decides: a suspect of two ends runs apart from other such suspects, so that a third end names one; a suspect of three ends that shares one of them with no other such suspect is held back, at its origin and beside each target. A run that comes back whole clears it of all ends, everywhere. One trial run at one target follows after 1, 4 and 16 minutes. Held back means 503 with the time of the next trial if this attempt has not been sent, else 502 at once. Operators: line `request held back` with the targets it ended, GET /held and DELETE /held/FINGERPRINT at the metrics address, gauges requests_held_back and target_ends_known.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -259,6 +259,7 @@
         Some(RefusalReason::TicketForeign) => "its ticket is another daemon's, or expired unused",
         Some(RefusalReason::Invalid) => "it is malformed or names an unknown operation",
         Some(RefusalReason::Cancelled) => "its caller left or its deadline passed while it waited",
+        Some(RefusalReason::HeldBack) => "it crashed the targets that ran it",
         None => return printable(reason),
     };
     format!("{reason}: {meaning}")
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -70,7 +70,8 @@
         RefusalReason::Leaving
         | RefusalReason::NoInstance
         | RefusalReason::NotReady
-        | RefusalReason::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
+        | RefusalReason::Cancelled
+        | RefusalReason::HeldBack => StatusCode::SERVICE_UNAVAILABLE,
         RefusalReason::TicketRequired => StatusCode::PRECONDITION_REQUIRED,
         RefusalReason::TicketForeign => StatusCode::CONFLICT,
         RefusalReason::Invalid => StatusCode::BAD_REQUEST,
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -70,6 +70,9 @@
     /// While the call was waiting, the caller disconnected or the deadline passed.
     #[display("cancelled")]
     Cancelled,
+    /// The request crashed the targets that ran it.
+    #[display("held-back")]
+    HeldBack,
 }
 
 impl RefusalReason {
@@ -94,7 +97,7 @@
     /// Parses the text form used on the wire.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
-        const ALL: [RefusalReason; 10] = [
+        const ALL: [RefusalReason; 11] = [
             RefusalReason::Overloaded,
             RefusalReason::Evicted,
             RefusalReason::Deadline,
@@ -105,6 +108,7 @@
             RefusalReason::TicketForeign,
             RefusalReason::Invalid,
             RefusalReason::Cancelled,
+            RefusalReason::HeldBack,
         ];
         ALL.into_iter().find(|reason| reason.to_string() == text)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,8 @@
 * [`work`]: calls offered to a gate, its decisions and its events
 * [`fates`]: whether a send whose answer was lost has started to run
 * [`fingerprint`]: identity of a request that comes again under another id
+* [`crashes`]: requests that crash the targets that run them
+* [`crash_news`]: what daemons tell each other about ended targets
 * [`dependencies`]: services that requests of a route depend on, inferred from calls
 * [`load`]: load that a daemon reports to others
 * [`budget`]: limit on the retries of one request over its whole call tree
@@ -62,6 +64,8 @@
 pub mod budget;
 pub mod candidate;
 pub mod children;
+pub mod crash_news;
+pub mod crashes;
 pub mod dependencies;
 pub mod edge;
 pub mod fates;
@@ -87,6 +91,7 @@
 mod pacer;
 mod priority;
 mod queue;
+mod recent_runs;
 mod run_times;
 mod scale;
 mod standing_queue;
@@ -100,6 +105,8 @@
     CallOutcome, Candidate, InstanceKey, InstanceStatus, Pick, RouterConfig, RoutingStrategy,
 };
 pub use crate::children::ChildRetries;
+pub use crate::crash_news::{CrashNews, EndKey, EndReport, MalformedNews};
+pub use crate::crashes::{Crashes, HeldRequest, Treatment};
 pub use crate::dependencies::{MatchedRun, RequestKind, RouteDependencies};
 pub use crate::edge::EdgeRetries;
 pub use crate::fates::{Fates, SendKey};
--- a/crates/policy/tests/patterns/main.rs
+++ b/crates/policy/tests/patterns/main.rs
@@ -9,6 +9,7 @@
 mod frozen_daemon;
 mod full_restart;
 mod network_partition;
+mod query_of_death;
 mod retry_storm;
 mod rolling_replacement;
 mod slow_link;
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use http::{Response, StatusCode};
 use model::{Class, InstanceId, Refusal, RefusalReason, ServiceName};
-use policy::{CallOutcome, Fingerprint, InstanceKey, Pick, RootRequest, Shed};
+use policy::{CallOutcome, Fingerprint, InstanceKey, Pick, RootRequest, Shed, Treatment};
 use routes::{Idempotency, Target};
 use tokio::time::Instant;
 use wire::Hop;
@@ -19,6 +19,7 @@
 use crate::piggyback::{self, TargetReport};
 use crate::relay::Relay;
 use crate::responses::{service_unavailable, status_only};
+use crate::suspects;
 use crate::target_notice::TargetNotice;
 
 /// Retry delay for callers if no target of the service is known.
@@ -103,11 +104,17 @@
                 state.resend_budget.record_first_send(now);
             }
         });
+        if let Some(answer) = self.hold_back() {
+            return answer;
+        }
         if let Err(shed) = self.admit_root(&service) {
             return (RequestOutcome::Shed, self.shed(&shed));
         }
         loop {
-            let (key, target) = match self.pick(&service) {
+            if let Some(answer) = self.hold_back() {
+                return answer;
+            }
+            let (key, target) = match self.pick_for_trial(&service) {
                 Ok(picked) => picked,
                 Err(refusal) => return self.give_up(&service, &refusal),
             };
@@ -174,6 +181,53 @@
             .clamp(MIN_SHED_RETRY_AFTER, MAX_SHED_RETRY_AFTER)
     }
 
+    /// Returns the answer to a request that crashes its targets: a refusal if it has not run this
+    /// time. Another request under the same id may have run before.
+    fn hold_back(&self) -> Option<(RequestOutcome, Response<Payload>)> {
+        let now = Instant::now().into_std();
+        let crashes = self.relay.crashes.borrow();
+        let Treatment::HeldBack { retry_after } = crashes.treatment(self.fingerprint, now) else {
+            return None;
+        };
+        log::info!(
+            id = self.request.id.to_str().unwrap_or("unprintable"),
+            route = self.request.route.name.as_str(),
+            is_call = self.request.is_call,
+            held:% = crashes.describe(self.fingerprint, now),
+            may_have_run = self.may_have_run,
+            retry_after_ms = millis(retry_after);
+            "request held back"
+        );
+        let res = if self.may_have_run {
+            status_only(StatusCode::BAD_GATEWAY)
+        } else {
+            service_unavailable(retry_after)
+        };
+        Some((RequestOutcome::HeldBack, res))
+    }
+
+    /// Chooses the target of the next send: the one that makes the trial of a request that is due
+    /// for one.
+    fn pick_for_trial(&mut self, service: &ServiceName) -> Result<(InstanceKey, Target), Refusal> {
+        loop {
+            let (key, target) = self.pick(service)?;
+            let now = Instant::now().into_std();
+            let treatment = self.relay.crashes.borrow().treatment(self.fingerprint, now);
+            if treatment != Treatment::Trial
+                || suspects::is_trial_target(self.relay, service, self.fingerprint, &target)
+            {
+                return Ok((key, target));
+            }
+            self.tried.push(key);
+            self.relay.with_service(service, |state| {
+                let latency = Duration::ZERO;
+                state
+                    .router
+                    .finish(key, CallOutcome::Cancelled, latency, None, now);
+            });
+        }
+    }
+
     /// Chooses the target of the next send.
     fn pick(&self, service: &ServiceName) -> Result<(InstanceKey, Target), Refusal> {
         let class = self.class();
@@ -228,12 +282,12 @@
         };
         let hop = self.hop(target, began);
         let (outcome, report) = if target.address == self.relay.cfg.target {
-            let outcome = local_target::run(self.relay, hop, forward).await;
+            let outcome = local_target::run(self.relay, hop, forward, self.fingerprint).await;
             let report = piggyback::record_local_run(self.relay, &self.request.route.name);
             (outcome, Some(report))
         } else {
             let policy = self.loss_policy(service, key);
-            mesh::send(self.relay, target, &hop, policy, forward).await
+            mesh::send(self.relay, target, &hop, policy, forward, self.fingerprint).await
         };
         if let Some(report) = &report {
             piggyback::record_report(self.relay, service, &target.id, report);
--- a/crates/relay/src/guards.rs
+++ b/crates/relay/src/guards.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use policy::RunKey;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::relay::Relay;
 
@@ -42,14 +43,21 @@
 pub(crate) struct RunGuard {
     relay: Rc<Relay>,
     key: RunKey,
+    /// Keeps other suspects from running beside this one.
+    _alone: Option<OwnedSemaphorePermit>,
 }
 
 impl RunGuard {
-    pub(crate) fn new(relay: &Rc<Relay>, run: policy::Run) -> Self {
+    pub(crate) fn new(
+        relay: &Rc<Relay>,
+        run: policy::Run,
+        alone: Option<OwnedSemaphorePermit>,
+    ) -> Self {
         let key = relay.runs.borrow_mut().begin(run);
         RunGuard {
             relay: Rc::clone(relay),
             key,
+            _alone: alone,
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,12 +30,14 @@
 
 mod admission;
 mod connection_pool;
+mod crash_news;
 mod dispatch;
 pub mod error;
 mod fate;
 mod guards;
 pub mod header_names;
 mod headers;
+mod held;
 mod listen;
 mod local_target;
 mod locations;
@@ -52,6 +54,7 @@
 pub mod settings;
 pub mod source;
 pub mod start;
+mod suspects;
 mod sync;
 mod target_end;
 mod target_notice;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -20,7 +20,7 @@
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
 use crate::responses::status_only;
-use crate::{mesh, metrics, origin};
+use crate::{held, mesh, metrics, origin};
 
 /// Length of the accept queue. Callers open hundreds of connections in a burst, and a
 /// connection attempt that is dropped is retried only after one second.
@@ -42,7 +42,7 @@
     Mesh,
     /// Readiness checks.
     Ready,
-    /// Scrapes of the metrics.
+    /// Scrapes of the metrics, and requests of operators.
     Metrics,
 }
 
@@ -121,7 +121,9 @@
         ListenerKind::Outbound => origin::serve(relay, req).await,
         ListenerKind::Mesh => mesh::serve(&relay, peer, req).await,
         ListenerKind::Ready => readiness_response(&relay),
-        ListenerKind::Metrics => metrics_response(&relay),
+        ListenerKind::Metrics => {
+            held::serve(&relay, &req).unwrap_or_else(|| metrics_response(&relay))
+        }
     })
 }
 
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -19,6 +19,7 @@
 use crate::headers::strip_hop_by_hop;
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
+use crate::suspects;
 use crate::target_end;
 use crate::target_notice::TargetNotice;
 
@@ -46,11 +47,18 @@
 impl ForwardOutcome {
     /// A refusal by a daemon.
     pub(crate) fn not_run(reason: RefusalReason, retry_after: Duration) -> Self {
+        ForwardOutcome::from(Refusal {
+            reason,
+            retry_after,
+        })
+    }
+}
+
+/// A refusal by a daemon.
+impl From<Refusal> for ForwardOutcome {
+    fn from(refusal: Refusal) -> Self {
         ForwardOutcome::NotRun {
-            refusal: Refusal {
-                reason,
-                retry_after,
-            },
+            refusal,
             at_target: false,
         }
     }
@@ -115,12 +123,17 @@
     relay: &Rc<Relay>,
     hop: Hop,
     mut forward: ForwardedRequest,
+    fingerprint: Fingerprint,
 ) -> ForwardOutcome {
     let arrived = Instant::now();
     let deadline = arrived + hop.time_left;
     if let Some(outcome) = refuse_unserved(relay, &hop) {
         return outcome;
     }
+    let mut alone = match suspects::wait_for_turn(relay, fingerprint, deadline).await {
+        Ok(alone) => alone,
+        Err(refusal) => return refusal.into(),
+    };
     let slot = match relay
         .admission
         .acquire(to_work(relay, &hop, arrived, deadline))
@@ -128,16 +141,16 @@
     {
         Ok(slot) => slot,
         Err(refusal) => {
-            return ForwardOutcome::NotRun {
-                refusal,
-                at_target: false,
-            };
+            return refusal.into();
         }
     };
     // The daemon or the target may have started to leave while the request was queued.
     if let Some(outcome) = refuse_unserved(relay, &hop) {
         return outcome;
     }
+    if let Err(refusal) = suspects::check_turn(relay, fingerprint, &mut alone) {
+        return refusal.into();
+    }
     let left = deadline.saturating_duration_since(Instant::now());
     let Ok(left_ms @ 1..) = u64::try_from(left.as_millis()) else {
         return ForwardOutcome::not_run(RefusalReason::Deadline, LOCAL_REFUSAL_RETRY_AFTER);
@@ -161,8 +174,9 @@
             deadline: deadline.into_std(),
             repeated: hop.attempt > 0,
         },
+        alone,
     );
-    let outcome = send(relay, forward, deadline, slot, run).await;
+    let outcome = send(relay, forward, fingerprint, deadline, slot, run).await;
     if matches!(outcome, ForwardOutcome::NotRun { .. }) {
         relay.fates.borrow_mut().refused(SendKey(hop.send_id));
     }
@@ -202,12 +216,12 @@
 async fn send(
     relay: &Rc<Relay>,
     forward: ForwardedRequest,
+    fingerprint: Fingerprint,
     deadline: Instant,
     slot: Slot,
     run: RunGuard,
 ) -> ForwardOutcome {
     let id = forward.head.headers.get(&relay.names.request_id).cloned();
-    let fingerprint = forward.fingerprint(&relay.names);
     let is_head = forward.is_head();
     let to = relay.cfg.target;
     let sent = Instant::now();
@@ -265,6 +279,12 @@
     if is_refusal(relay, &head) {
         return refused_by_target(relay, &head, slot, connection);
     }
+    let now = Instant::now().into_std();
+    relay
+        .crashes
+        .borrow_mut()
+        .record_whole_run(fingerprint, now);
+    relay.crash_exchange.notify();
     let answer_headers = head.headers.clone();
     strip_hop_by_hop(&mut head.headers);
     body.set_expiry(deadline + STREAM_OVERRUN);
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use model::{Outcome, Refusal, RefusalReason};
-use policy::SendKey;
+use policy::{Fingerprint, SendKey};
 use routes::Target;
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::Instant;
@@ -15,6 +15,7 @@
 use wire::{Hop, HopEnd};
 
 use crate::connection_pool::SendError;
+use crate::crash_news;
 use crate::fate;
 use crate::guards::InFlightGuard;
 use crate::headers::strip_hop_by_hop;
@@ -57,6 +58,7 @@
     hop: &Hop,
     policy: LossPolicy,
     mut forward: ForwardedRequest,
+    fingerprint: Fingerprint,
 ) -> (ForwardOutcome, Option<TargetReport>) {
     let Ok(value) = HeaderValue::from_str(&hop.to_string()) else {
         let outcome = ForwardOutcome::not_run(RefusalReason::Invalid, UNREACHABLE_RETRY_AFTER);
@@ -64,6 +66,7 @@
     };
     forward.head.headers.insert(HOP, value);
     piggyback::write_view_stamp(relay, &mut forward.head.headers);
+    crash_news::write(relay, fingerprint, &mut forward.head.headers);
     let to = relay.daemon_address(target);
     let life = relay.known_daemons.life(to);
     let sending = relay.connection_pool.send(to, forward.into_request());
@@ -95,6 +98,7 @@
     };
     let mut head = reply.head;
     piggyback::take_view_stamp(relay, to, &mut head.headers);
+    crash_news::take(relay, &mut head.headers);
     let end = head
         .headers
         .remove(HOP_END)
@@ -156,9 +160,13 @@
     let (mut head, body) = req.into_parts();
     let from = SocketAddr::new(from, relay.cfg.listen.mesh.port());
     piggyback::take_view_stamp(relay, from, &mut head.headers);
+    crash_news::take(relay, &mut head.headers);
     if let Some(res) = pull::serve(relay, &head).or_else(|| fate::serve(relay, &head)) {
         return res;
     }
+    if head.uri.path() == crash_news::PATH {
+        return crash_news::serve(relay, &head, body).await;
+    }
     let _in_flight = InFlightGuard::new(relay);
     let hop = head
         .headers
@@ -171,14 +179,20 @@
     let route = hop.route.clone();
     let id = head.headers.get(&relay.names.request_id).cloned();
     piggyback::record_origin(relay, &route, from.ip());
-    let outcome = match Payload::read(body).await {
-        Ok(body) => local_target::run(relay, hop, ForwardedRequest { head, body }).await,
+    let body = match Payload::read(body).await {
+        Ok(body) => body,
         Err(error) => {
             log::debug!(error:%; "request body between daemons incomplete");
-            ForwardOutcome::not_run(RefusalReason::Cancelled, Duration::ZERO)
+            let outcome = ForwardOutcome::not_run(RefusalReason::Cancelled, Duration::ZERO);
+            return answer(relay, id.as_ref(), &route, outcome);
         }
     };
-    answer(relay, id.as_ref(), &route, outcome)
+    let forward = ForwardedRequest { head, body };
+    let fingerprint = forward.fingerprint(&relay.names);
+    let outcome = local_target::run(relay, hop, forward, fingerprint).await;
+    let mut res = answer(relay, id.as_ref(), &route, outcome);
+    crash_news::write(relay, fingerprint, res.headers_mut());
+    res
 }
 
 /// Builds the answer to another daemon, with the load of the local target.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -27,6 +27,8 @@
     Shed,
     /// It did not run: this daemon or the targets refused it.
     Refused,
+    /// Not sent, or not sent again, because it crashed the targets that ran it.
+    HeldBack,
     /// It may have run, but its response was lost.
     Unknown,
     /// Its deadline passed.
@@ -41,6 +43,7 @@
             RequestOutcome::Answered => "answered",
             RequestOutcome::Shed => "shed",
             RequestOutcome::Refused => "refused",
+            RequestOutcome::HeldBack => "held_back",
             RequestOutcome::Unknown => "unknown",
             RequestOutcome::TimedOut => "timed_out",
             RequestOutcome::Invalid => "invalid",
@@ -145,6 +148,10 @@
     let limit = notice.limit_per_second.unwrap_or(f64::INFINITY);
     metrics.set_gauge("target_limit_per_second", limit);
     metrics.set_gauge("target_leaving", f64::from(u8::from(notice.is_leaving)));
+    let crashes = relay.crashes.borrow();
+    let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+    metrics.set_gauge("requests_held_back", count(crashes.held_count()));
+    metrics.set_gauge("target_ends_known", count(crashes.end_count()));
     let mut text = Vec::new();
     TextEncoder::new()
         .encode(&metrics.registry.gather(), &mut text)
--- a/crates/relay/src/piggyback.rs
+++ b/crates/relay/src/piggyback.rs
@@ -16,6 +16,7 @@
 use wire::{ServiceShare, ViewStamp};
 
 use crate::admission::LoadReport;
+use crate::crash_news;
 use crate::pull;
 use crate::relay::Relay;
 use crate::source::PublishedState;
@@ -117,6 +118,7 @@
 pub(crate) fn write_view_stamp(relay: &Relay, headers: &mut HeaderMap) {
     let stamp = relay.view.borrow().stamp(Instant::now());
     insert(headers, VIEW, &stamp.to_string());
+    crash_news::write_digest(relay, headers);
 }
 
 /// Removes the header that [`write_view_stamp`] added, and starts to fetch the states of which the
@@ -134,10 +136,11 @@
 /// Removes the header that [`write_view_stamp`] added, and returns what the other daemon has that
 /// this one lacks.
 pub(crate) fn merge_view_stamp(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     from: SocketAddr,
     headers: &mut HeaderMap,
 ) -> StampDiff {
+    crash_news::take_digest(relay, from, headers);
     let Some(value) = headers.remove(VIEW) else {
         return StampDiff::default();
     };
--- a/crates/relay/src/pull.rs
+++ b/crates/relay/src/pull.rs
@@ -59,7 +59,7 @@
     Ok(())
 }
 
-async fn exchange_stamps(relay: &Relay, with: SocketAddr) -> Result<StampDiff, &'static str> {
+async fn exchange_stamps(relay: &Rc<Relay>, with: SocketAddr) -> Result<StampDiff, &'static str> {
     let mut req = Request::get(VIEW_PATH);
     if let Some(headers) = req.headers_mut() {
         piggyback::write_view_stamp(relay, headers);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,20 +4,22 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::{Class, InstanceId, ServiceName};
 use policy::{
-    AdmissionShares, Candidate, Fates, GateConfig, InstanceStatus, ResendBudget, RootAdmission,
-    RouteDependencies, RouteOrigins, Router, RouterConfig, RoutingStrategy, Runs,
+    AdmissionShares, Candidate, Crashes, Fates, GateConfig, InstanceStatus, ResendBudget,
+    RootAdmission, RouteDependencies, RouteOrigins, Router, RouterConfig, RoutingStrategy, Runs,
 };
 use routes::{Readers, RouteTable, Target, TargetState, Targets, WeightedRoundRobin};
 use smol_str::SmolStr;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
 use crate::admission::Admission;
 use crate::connection_pool::ConnectionPool;
+use crate::crash_news::CrashExchange;
 use crate::fate::KnownDaemons;
 use crate::header_names::HeaderNames;
 use crate::locations::DaemonLocations;
@@ -75,6 +77,10 @@
     pub(crate) known_daemons: KnownDaemons,
     pub(crate) fates: RefCell<Fates>,
     pub(crate) target_end: EndDetector,
+    pub(crate) crashes: RefCell<Crashes>,
+    pub(crate) crash_exchange: CrashExchange,
+    /// Held by the run of a request that runs [alone](policy::Treatment::Alone).
+    pub(crate) run_alone: Arc<Semaphore>,
     /// What the local target said about itself last.
     pub(crate) target_notice: Cell<TargetNotice>,
     pub(crate) phase: Cell<Phase>,
@@ -118,6 +124,9 @@
             known_daemons: KnownDaemons::default(),
             fates: RefCell::new(Fates::default()),
             target_end: EndDetector::default(),
+            crashes: RefCell::new(Crashes::default()),
+            crash_exchange: CrashExchange::default(),
+            run_alone: Arc::new(Semaphore::new(1)),
             target_notice: Cell::new(TargetNotice::default()),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
+use crate::crash_news;
 use crate::error::Error;
 use crate::header_names::HeaderNames;
 use crate::listen::{self, ListenerKind};
@@ -58,6 +59,7 @@
     tokio::task::spawn_local(sync::follow_table(Rc::clone(&relay), Rc::clone(&source)));
     tokio::task::spawn_local(sync::follow_targets(Rc::clone(&relay), source));
     tokio::task::spawn_local(Rc::clone(&relay.admission).run_timers());
+    tokio::task::spawn_local(crash_news::spread(Rc::clone(&relay)));
     tokio::task::spawn_local(clean_up_periodically(Rc::clone(&relay)));
     stop.await;
     let stop_requested = Instant::now();
@@ -103,5 +105,6 @@
         let now = Instant::now();
         relay.connection_pool.close_idle(now);
         relay.expire_targets(now);
+        relay.crashes.borrow_mut().prune(now.into_std());
     }
 }
--- a/crates/relay/src/target_end.rs
+++ b/crates/relay/src/target_end.rs
@@ -6,10 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use policy::Fingerprint;
+use model::InstanceId;
+use policy::{EndKey, Fingerprint};
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::relay::Relay;
 
@@ -25,7 +26,7 @@
     /// The probe in progress, which all requests that broke off share.
     probe: RefCell<Option<Rc<OnceCell<bool>>>>,
     /// The end that requests which break off now count towards.
-    current: Cell<Option<u64>>,
+    current: Cell<Option<EndKey>>,
     /// Requests that were in flight at that end, so far.
     in_flight: RefCell<Vec<Fingerprint>>,
 }
@@ -46,24 +47,34 @@
         return;
     }
     detector.in_flight.borrow_mut().push(fingerprint);
-    if detector.current.get().is_none() {
-        let end = rand::random();
+    let end = detector.current.get().unwrap_or_else(|| {
+        let end = EndKey(rand::random());
         detector.current.set(Some(end));
-        tokio::task::spawn_local(report(Rc::clone(relay), end));
-    }
+        tokio::task::spawn_local(log_end(Rc::clone(relay), end));
+        end
+    });
+    let target_id = local_target_id(relay);
+    let now = Instant::now().into_std();
+    let mut crashes = relay.crashes.borrow_mut();
+    crashes.record_suspect(end, &target_id, &relay.cfg.name, fingerprint, now);
+    relay.crash_exchange.notify();
+}
+
+fn local_target_id(relay: &Relay) -> InstanceId {
+    let target = relay.view.borrow().local_target.clone();
+    target.map(|target| target.id).unwrap_or_default()
 }
 
 /// Logs an end once all requests that were in flight are known.
-async fn report(relay: Rc<Relay>, end: u64) {
+async fn log_end(relay: Rc<Relay>, end: EndKey) {
     sleep(COLLECTION_TIME).await;
     relay.target_end.current.set(None);
     let in_flight = relay.target_end.in_flight.take();
-    let target = relay.view.borrow().local_target.clone();
-    let target_id = target.map(|target| target.id).unwrap_or_default();
+    let target_id = local_target_id(&relay);
     let fingerprints: Vec<String> = in_flight.iter().map(ToString::to_string).collect();
     log::warn!(
         target_id = target_id.as_str(),
-        end:% = format_args!("{end:016x}"),
+        end:%,
         fingerprints = fingerprints.join(" ").as_str();
         "target ended"
     );
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -30,6 +30,13 @@
 /// Request and response header that carries a [`ViewStamp`].
 pub const VIEW: HeaderName = HeaderName::from_static("berylhead-view");
 
+/// Request and response header with what the sender knows of the targets that the request may have
+/// crashed.
+pub const CRASHES: HeaderName = HeaderName::from_static("berylhead-crashes");
+/// Request and response header with the digest of all ends of targets that the sender knows of, in
+/// hexadecimal; absent if it knows of none.
+pub const CRASH_DIGEST: HeaderName = HeaderName::from_static("berylhead-crash-digest");
+
 /// Placeholder for a field without a value.
 const NONE: &str = "-";
 
