--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -9,7 +9,9 @@
 
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
 
-pub(crate) use self::daemons::{CallOptions, ExplainOptions, ReportOptions, StatusOptions};
+pub(crate) use self::daemons::{
+    CallOptions, ExplainOptions, HeldOptions, ReportOptions, StatusOptions,
+};
 pub(crate) use self::survey::SurveyCommand;
 pub(crate) use self::trial::{DemoOptions, Experiment, ExperimentOptions, LoadOptions, Workload};
 use crate::failure::BAD_INPUT;
@@ -24,6 +26,7 @@
     Status(StatusOptions),
     Call(CallOptions),
     Explain(ExplainOptions),
+    Held(HeldOptions),
     Report(ReportOptions),
     Load(LoadOptions),
     Demo(DemoOptions),
@@ -60,6 +63,10 @@
         .command("explain")
         .help("Tell what was decided about one request, from the daemons' logs")
         .map(Command::Explain);
+    let held = daemons::held()
+        .command("held")
+        .help("Show or release requests that are held back because they crashed targets")
+        .map(Command::Held);
     let report = daemons::report()
         .command("report")
         .help("Report goodput, error budgets, burn and recovery after overloads")
@@ -77,7 +84,7 @@
         .help("Compare berylhead with a plain pass-through under a named trouble")
         .map(Command::Experiment);
     construct!([
-        survey, status, call, explain, report, load, demo, experiment
+        survey, status, call, explain, held, report, load, demo, experiment
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
--- a/crates/ctl/src/cli/daemons.rs
+++ b/crates/ctl/src/cli/daemons.rs
@@ -16,6 +16,14 @@
     pub(crate) admins: Vec<SocketAddr>,
 }
 
+/// Options of `berylctl held`.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldOptions {
+    /// Fingerprint of a request to release.
+    pub(crate) release: Option<SmolStr>,
+    pub(crate) admins: Vec<SocketAddr>,
+}
+
 /// Options of `berylctl call`.
 #[derive(Clone, Debug)]
 pub(crate) struct CallOptions {
@@ -65,6 +73,25 @@
     .footer("Example: berylctl status 10.1.0.4:7005 10.1.0.5:7005")
 }
 
+pub(super) fn held() -> OptionParser<HeldOptions> {
+    let is_fingerprint = |text: &SmolStr| policy::Fingerprint::parse(text).is_some();
+    let release = text_option("release", "FINGERPRINT", "Let this request run again")
+        .guard(
+            is_fingerprint,
+            "not a fingerprint; allowed: 16 hexadecimal digits",
+        )
+        .optional();
+    let admins = positional::<SocketAddr>("ADMIN")
+        .help("Metrics address of a daemon on the platform, as ip:port")
+        .some("name at least one metrics address, such as 10.1.0.8:7621");
+    construct!(HeldOptions { release, admins })
+        .to_options()
+        .descr(
+            "Lists the requests that are held back because they crashed targets, or releases one.",
+        )
+        .footer("Example: berylctl held --release 00f1a2b3c4d5e6f7 10.1.0.8:7621")
+}
+
 pub(super) fn call() -> OptionParser<CallOptions> {
     let key = text_option("key", "KEY", "Idempotency key; sends a POST").optional();
     let ticket = text_option("ticket", "TICKET", "Ticket from an earlier answer").optional();
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -28,7 +28,8 @@
 
 /// Messages of the `relay` crate about the failure of a request, ordered from the one nearest to
 /// the cause.
-const FAILURES: [&str; 5] = [
+const FAILURES: [&str; 6] = [
+    "request held back",
     "outcome unknown beside the target",
     "outcome unknown",
     "request timed out",
@@ -223,6 +224,17 @@
             field("arrivals"),
             retry_hint()
         ),
+        "request held back" => format!(
+            "{}: not sent{}, as {}; may come back after {} ms",
+            field("route"),
+            if string_field(fields, "may_have_run") == "true" {
+                " again"
+            } else {
+                ""
+            },
+            field("held"),
+            field("retry_after_ms")
+        ),
         "request timed out" => format!(
             "{}: no answer in its time of {} ms; sent last to {}",
             field("route"),
--- a/crates/ctl/src/http.rs
+++ b/crates/ctl/src/http.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, anyhow, bail, ensure};
 use bytes::Bytes;
-use http::Request;
+use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -39,7 +39,19 @@
     /// Fails if the connection fails, the status is not 2xx, the body is over
     /// [`MAX_RESPONSE_BYTES`], or [`ADMIN_TIMEOUT`] passes.
     pub(crate) async fn get(&self, admin: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
-        let req = Request::get(format!("http://{admin}{path}")).body(Full::default())?;
+        self.send(Method::GET, admin, path).await
+    }
+
+    /// Deletes what a path of the admin listener at `admin` names; fails like [`get`](Self::get).
+    pub(crate) async fn delete(&self, admin: SocketAddr, path: &str) -> anyhow::Result<()> {
+        self.send(Method::DELETE, admin, path).await.map(drop)
+    }
+
+    async fn send(&self, method: Method, admin: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{admin}{path}"))
+            .body(Full::default())?;
         let exchange = async {
             let (head, body) = self
                 .client
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -28,6 +28,7 @@
 mod explain;
 mod failure;
 mod file;
+mod held;
 mod http;
 mod interview;
 mod load;
@@ -65,6 +66,7 @@
         Command::Status(options) => http::block_on(status::run(options)),
         Command::Call(options) => http::block_on(call::run(options)),
         Command::Explain(options) => explain::run(&options),
+        Command::Held(options) => http::block_on(held::run(options)),
         Command::Report(options) => http::block_on(report::run(options)),
         Command::Load(options) => http::block_on(load::run(options)),
         Command::Demo(options) => http::block_on(demo::run(options)),
--- a/crates/ctl/tests/daemons.rs
+++ b/crates/ctl/tests/daemons.rs
@@ -40,6 +40,42 @@
     ");
 }
 
+#[test]
+fn held_lists_each_request_once_and_releases_one() {
+    let list = |ages: [u32; 2]| {
+        let [first, second] = ages;
+        let body = format!(
+            "00000000000000ff crashed i-1 by till-1 {first} s ago, i-2 by till-2 {second} s ago\n"
+        );
+        http_response("200 OK", "", &body)
+    };
+    let (first, _served) = serve_responses(vec![list([9, 7])]);
+    let (second, _served) = serve_responses(vec![list([10, 7])]);
+    let admins = [first, second].map(|address| address.to_string());
+    assert_snapshot!(berylctl(&["held", &admins[0], &admins[1]]), @r"
+    00000000000000ff crashed i-1 by till-1 10 s ago, i-2 by till-2 7 s ago
+    exit 0
+    ");
+    let (other, _served) = serve_responses(vec![http_response("404 Not Found", "", "")]);
+    let (knows, _served) = serve_responses(vec![http_response("204 No Content", "", "")]);
+    let admins = [other, knows].map(|address| address.to_string());
+    let release = [
+        "held",
+        "--release",
+        "00000000000000ff",
+        &admins[0],
+        &admins[1],
+    ];
+    assert_snapshot!(berylctl(&release).replace(&admins[1], "ADMIN"), @r"
+    ADMIN released 00000000000000ff and tells the others
+    exit 0
+    ");
+    assert_snapshot!(berylctl(&["held", "--release", "x", "127.0.0.1:1"]), @r"
+    Error: `x`: not a fingerprint; allowed: 16 hexadecimal digits
+    exit 2
+    ");
+}
+
 #[test]
 fn status_filters_json_by_data_centre() {
     let (daemon, _served) = serve_responses(vec![
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -67,6 +67,7 @@
 {"class":"critical","id":"5f1","is_call":"false","arrivals":0,"level":"info","message":"outcome unknown","route":"book","service":"till","target_id":"i-9","why":"the daemon beside the target doesn't know","time_ms":2040}
 {"class":"browse","id":"77a","level":"info","message":"request shed","pressure_age_ms":12,"pressure_thousandths":"1510","retry_after_ms":180,"route":"look","short_of":"till","under_way":4,"window":"2.7956888","time_ms":2050}
 {"asked":2,"arrivals":0,"class":"browse","held_ms":9,"id":"78b","level":"info","message":"request refused","reason":"evicted","retry_after_ms":180,"route":"look","time_ms":2050}
+{"id":"80d","is_call":"false","level":"info","held":"00000000000000ff crashed i-1 by till-1 9 s ago, i-2 by till-2 7 s ago","may_have_run":"true","message":"request held back","retry_after_ms":53000,"route":"book","time_ms":2060}
 "#;
 /// Log of another daemon as a collector writes it: time and process name before each line.
 const COLLECTED: &str = r#"not a line of a daemon
@@ -92,6 +93,10 @@
     +0.0 ms  desk-1  look browse: refused after 9 ms, evicted: a more important arrival took its place in the queue; 2 daemons asked, 0 targets reached; may come back after 180 ms  <- decisive
     exit 0
     ");
+    assert_snapshot!(explain("80d"), @r"
+    +0.0 ms  desk-1  book: not sent again, as 00000000000000ff crashed i-1 by till-1 9 s ago, i-2 by till-2 7 s ago; may come back after 53000 ms  <- decisive
+    exit 0
+    ");
 }
 
 #[test]
