--- a/crates/ctl/src/held.rs
+++ b/crates/ctl/src/held.rs
@@ -45,12 +45,11 @@
     // Daemons may differ in the age of an end, so each request is listed once.
     let mut listed = BTreeSet::new();
     held.retain(|line| listed.insert(line.split(' ').next().unwrap_or_default().to_owned()));
-    let lines: String = held.iter().map(|line| format!("{line}\n")).collect();
-    output::print(if lines.is_empty() {
-        "no request is held back\n"
-    } else {
-        &lines
-    })?;
+    if held.is_empty() {
+        held.insert("no request is held back".to_owned());
+    }
+    let lines: Vec<String> = held.into_iter().collect();
+    output::print(&(lines.join("\n") + "\n"))?;
     if unanswered > 0 {
         let daemons = options.admins.len();
         return Err(anyhow!("{unanswered} of {daemons} daemons did not answer").into());
--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -85,16 +85,21 @@
     target: InstanceId,
     daemon: SmolStr,
     at: Instant,
+    /// Requests that were in flight and have not been cleared.
     suspects: BTreeSet<Fingerprint>,
+    /// Requests that did not cause it; they can't become suspects again.
     cleared: BTreeSet<Fingerprint>,
 }
 
-/// Number of ends of which a request is a suspect, and the last of them.
+/// What is known of one suspect.
 #[derive(Clone, Copy, Debug)]
 struct Record {
+    /// Number of ends of which it is a suspect.
     ends: u32,
     last_end: Instant,
+    /// True if it is held back.
     is_guilty: bool,
+    /// When this daemon last let it run on trial.
     trial_at: Option<Instant>,
 }
 
@@ -102,13 +107,16 @@
 #[derive(Debug, Default)]
 pub struct Crashes {
     ends: BTreeMap<EndKey, End>,
+    /// Derived from the ends.
     records: HashMap<Fingerprint, Record>,
     recent_runs: RecentRuns,
+    /// Derived from the ends.
     digest: u64,
     /// What other daemons may not know yet.
     unsent: CrashUpdate,
 }
 
+/// News that were not passed on yet.
 #[derive(Debug, Default)]
 struct CrashUpdate {
     suspects: BTreeMap<EndKey, Vec<Fingerprint>>,
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -111,6 +111,7 @@
             return (RequestOutcome::Shed, self.shed(&shed));
         }
         loop {
+            // The previous send may have crashed its target, too.
             if let Some(answer) = self.hold_back() {
                 return answer;
             }
@@ -181,8 +182,8 @@
             .clamp(MIN_SHED_RETRY_AFTER, MAX_SHED_RETRY_AFTER)
     }
 
-    /// Returns the answer to a request that crashes its targets: a refusal if it has not run this
-    /// time. Another request under the same id may have run before.
+    /// Returns the answer to a request that crashes its targets; `None` for any other. The refusal
+    /// states only that this attempt has not run: earlier attempts, under other ids, have.
     fn hold_back(&self) -> Option<(RequestOutcome, Response<Payload>)> {
         let now = Instant::now().into_std();
         let crashes = self.relay.crashes.borrow();
