Wait until a stopped daemon has stopped, in the proofs

Traced by what it printed: the issuer logged the answered run 18 ms after the signal was sent, and all its threads stood still only later. kill returns before the threads have stopped: on this machine 1 of 200 stops of a busy process with six threads, by 5.7 ms.

--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -131,11 +131,13 @@
         self.log.lock().iter().any(|line| line.contains(text))
     }
 
-    /// Sends a signal to this process alone.
+    /// Sends a signal to this process alone. Returns after [`Signal::Stop`] once no thread of it
+    /// runs any more, which takes a while on a busy machine.
     ///
     /// # Panics
     ///
-    /// If the signal cannot be sent, such as after the process was waited for.
+    /// If the signal cannot be sent, such as after the process was waited for, or if the process
+    /// has not stopped within [`CAP`].
     pub async fn signal(&self, signal: Signal) {
         let sent = Command::new("/bin/kill")
             .arg(format!("-{signal}"))
@@ -143,6 +145,29 @@
             .status()
             .await;
         assert!(sent.is_ok_and(|status| status.success()), "SIG{signal}");
+        if signal == Signal::Stop {
+            let stopped = tokio::time::timeout(CAP, async {
+                while !self.is_halted() {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+            });
+            assert!(stopped.await.is_ok(), "it does not stop");
+        }
+    }
+
+    /// True if no thread can run: each is stopped by a signal or has ended.
+    fn is_halted(&self) -> bool {
+        let Ok(threads) = std::fs::read_dir(format!("/proc/{}/task", self.pid)) else {
+            return true;
+        };
+        threads.flatten().all(|thread| {
+            let status = std::fs::read_to_string(thread.path().join("status"));
+            let is_halted = |state: &str| status.as_ref().is_ok_and(|text| text.contains(state));
+            status.is_err()
+                || ["State:\tT", "State:\tZ", "State:\tX"]
+                    .into_iter()
+                    .any(is_halted)
+        })
     }
 
     /// Waits until it has ended and its last line is read.
