--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -1,4 +1,5 @@
-//! Which requests crash the targets that run them, and how such a request is treated.
+//! Which requests crash the targets that run them (queries of death), and how such a request is
+//! treated.
 //!
 //! Of the requests in flight when a target ends, most are innocent, and an ordinary crash has no
 //! guilty one at all. Each of them is a suspect of that end until a run of it comes back whole
