Record the end of a target in one step, and wake nobody for an ordinary answer

Each whole run also woke the task that passes news on. Clearing several requests derives the records once. Answers of ordinary requests wake nothing. Names: is_held_back, derive_records, UnsentNews, ENDS_TO_HOLD_BACK say what they are.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -1,11 +1,11 @@
 //! Which requests crash the targets that run them (queries of death), and how such a request is
 //! treated.
 //!
-//! Of the requests in flight when a target ends, most are innocent, and an ordinary crash has no
-//! guilty one at all. Each of them is a suspect of that end until a run of it comes back whole
+//! Of the requests in flight when a target ends, one at most caused it, and none did in an ordinary
+//! crash. Each of them is a suspect of that end until a run of it comes back whole
 //! anywhere. A suspect of two ends runs [alone](Treatment::Alone), that is, apart from other such
 //! suspects, so that a further end tells them apart. A request is held back once it is a suspect of
-//! [`MIN_ENDS`] ends and no other such request was in flight at one of them.
+//! [`ENDS_TO_HOLD_BACK`] ends and no other such request was in flight at one of them.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -20,9 +20,9 @@
 use crate::recent_runs::RecentRuns;
 
 /// Ends after which a request is held back.
-const MIN_ENDS: u32 = 3;
+const ENDS_TO_HOLD_BACK: u32 = 3;
 /// Ends after which it runs apart from other suspects.
-const MIN_ENDS_ALONE: u32 = 2;
+const ENDS_TO_RUN_ALONE: u32 = 2;
 /// Time after which a suspect that is not held back is forgotten.
 const SUSPECT_RETENTION: Duration = Duration::from_mins(10);
 /// Time after its last end for which a request is held back.
@@ -98,8 +98,7 @@
     /// Number of ends of which it is a suspect.
     ends: u32,
     last_end: Instant,
-    /// True if it is held back.
-    is_guilty: bool,
+    is_held_back: bool,
     /// When this daemon last let it run on trial.
     trial_at: Option<Instant>,
 }
@@ -113,38 +112,25 @@
     recent_runs: RecentRuns,
     /// Derived from the ends.
     digest: u64,
-    /// What other daemons may not know yet.
-    unsent: CrashUpdate,
+    unsent: UnsentNews,
 }
 
-/// News that were not passed on yet.
+/// What was learned since news were last passed on.
 #[derive(Debug, Default)]
-struct CrashUpdate {
+struct UnsentNews {
     suspects: BTreeMap<EndKey, Vec<Fingerprint>>,
     cleared: Vec<(Fingerprint, EndKey)>,
 }
 
 impl Crashes {
-    /// Records a request that was in flight when a target ended. It is no suspect if a run of it
-    /// came back whole lately.
-    pub fn record_suspect(
-        &mut self,
-        key: EndKey,
-        target: &InstanceId,
-        daemon: &SmolStr,
-        fingerprint: Fingerprint,
-        now: Instant,
-    ) {
-        if self.recent_runs.contains(fingerprint, now) {
+    /// Records the end of a target and the requests that were in flight. Those of which a run came
+    /// back whole lately are no suspects.
+    pub fn record_end(&mut self, mut end: EndReport, now: Instant) {
+        end.suspects
+            .retain(|suspect| !self.recent_runs.contains(*suspect, now));
+        if end.suspects.is_empty() {
             return;
         }
-        let end = EndReport {
-            key,
-            target: target.clone(),
-            daemon: daemon.clone(),
-            age: Duration::ZERO,
-            suspects: vec![fingerprint],
-        };
         let news = CrashNews {
             ends: vec![end],
             cleared: Vec::new(),
@@ -152,12 +138,10 @@
         self.merge(&news, now);
     }
 
-    /// Records that a run of a request came back whole.
-    pub fn record_whole_run(&mut self, fingerprint: Fingerprint, now: Instant) {
+    /// Records that a run of a request came back whole; true if that cleared it of any end.
+    pub fn record_whole_run(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         self.recent_runs.record(fingerprint, now);
-        if self.ends_of(fingerprint) >= MIN_ENDS_ALONE {
-            self.clear(fingerprint);
-        }
+        self.ends_of(fingerprint) >= ENDS_TO_RUN_ALONE && self.clear(&[fingerprint])
     }
 
     /// Records that a trial run of a request begins.
@@ -167,20 +151,22 @@
         }
     }
 
-    /// Clears a request of all ends that are known; false if it is a suspect of none.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        let mut was_suspect = false;
+    /// Clears requests of all ends that are known; false if they are suspects of none.
+    pub fn clear(&mut self, fingerprints: &[Fingerprint]) -> bool {
+        let mut changed = false;
         for (key, end) in &mut self.ends {
-            if end.suspects.remove(&fingerprint) {
-                end.cleared.insert(fingerprint);
-                self.unsent.cleared.push((fingerprint, *key));
-                was_suspect = true;
+            for fingerprint in fingerprints {
+                if end.suspects.remove(fingerprint) {
+                    end.cleared.insert(*fingerprint);
+                    self.unsent.cleared.push((*fingerprint, *key));
+                    changed = true;
+                }
             }
         }
-        if was_suspect {
-            self.judge();
+        if changed {
+            self.derive_records();
         }
-        was_suspect
+        changed
     }
 
     /// Merges what another daemon reports; true if any of it is new.
@@ -190,6 +176,7 @@
             changed |= self.merge_end(report, now);
         }
         for (fingerprint, key) in &news.cleared {
+            // A report that overtakes that of its end is fetched again, as the digests then differ.
             let Some(end) = self.ends.get_mut(key) else {
                 continue;
             };
@@ -200,7 +187,7 @@
             }
         }
         if changed {
-            self.judge();
+            self.derive_records();
             self.clear_recent_runs(now);
             self.evict();
         }
@@ -234,16 +221,14 @@
 
     /// Clears suspects of several ends of which a run came back whole here lately.
     fn clear_recent_runs(&mut self, now: Instant) {
+        let recent_runs = &mut self.recent_runs;
         let suspects = self.records.iter();
-        let suspects: Vec<Fingerprint> = suspects
-            .filter(|(_, record)| record.ends >= MIN_ENDS_ALONE)
+        let cleared: Vec<Fingerprint> = suspects
+            .filter(|(_, record)| record.ends >= ENDS_TO_RUN_ALONE)
             .map(|(fingerprint, _)| *fingerprint)
+            .filter(|fingerprint| recent_runs.contains(*fingerprint, now))
             .collect();
-        for fingerprint in suspects {
-            if self.recent_runs.contains(fingerprint, now) {
-                self.clear(fingerprint);
-            }
-        }
+        self.clear(&cleared);
     }
 
     /// Returns how to run a request.
@@ -252,14 +237,14 @@
         let Some(record) = self.records.get(&fingerprint) else {
             return Treatment::Normal;
         };
-        if !record.is_guilty {
-            return if record.ends >= MIN_ENDS_ALONE {
+        if !record.is_held_back {
+            return if record.ends >= ENDS_TO_RUN_ALONE {
                 Treatment::Alone
             } else {
                 Treatment::Normal
             };
         }
-        let trials = record.ends.saturating_sub(MIN_ENDS);
+        let trials = record.ends.saturating_sub(ENDS_TO_HOLD_BACK);
         let (since, delay) = if trials < MAX_TRIALS {
             let since = record
                 .last_end
@@ -335,8 +320,11 @@
     /// Returns the requests that are held back.
     #[must_use]
     pub fn held(&self, now: Instant) -> Vec<HeldRequest> {
-        let guilty = self.records.iter().filter(|(_, record)| record.is_guilty);
-        let mut held: Vec<HeldRequest> = guilty
+        let held = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_held_back);
+        let mut held: Vec<HeldRequest> = held
             .map(|(fingerprint, _)| self.describe(*fingerprint, now))
             .collect();
         held.sort_by_key(|request| request.fingerprint);
@@ -355,7 +343,7 @@
     #[must_use]
     pub fn held_count(&self) -> usize {
         let records = self.records.values();
-        records.filter(|record| record.is_guilty).count()
+        records.filter(|record| record.is_held_back).count()
     }
 
     /// Number of known ends.
@@ -369,7 +357,8 @@
         let records = &self.records;
         let is_needed = |fingerprint: &Fingerprint| {
             records.get(fingerprint).is_some_and(|record| {
-                record.is_guilty && now.saturating_duration_since(record.last_end) < HELD_RETENTION
+                record.is_held_back
+                    && now.saturating_duration_since(record.last_end) < HELD_RETENTION
             })
         };
         let mut changed = false;
@@ -384,7 +373,7 @@
             !end.suspects.is_empty()
         });
         if changed {
-            self.judge();
+            self.derive_records();
         }
     }
 
@@ -395,7 +384,7 @@
     }
 
     /// Derives the records of all suspects and the digest from the ends.
-    fn judge(&mut self) {
+    fn derive_records(&mut self) {
         self.digest = self.ends.iter().fold(0, |digest, (key, end)| {
             let suspects = end.suspects.iter().map(|suspect| mix(key.0, suspect.0));
             let cleared = end.cleared.iter().map(|cleared| mix(key.0, !cleared.0));
@@ -407,7 +396,7 @@
                 let record = records.entry(*fingerprint).or_insert(Record {
                     ends: 0,
                     last_end: end.at,
-                    is_guilty: false,
+                    is_held_back: false,
                     trial_at: None,
                 });
                 record.ends += 1;
@@ -415,12 +404,13 @@
             }
         }
         for end in self.ends.values() {
-            let is_strong = |fingerprint: &&Fingerprint| records[*fingerprint].ends >= MIN_ENDS;
+            let is_strong =
+                |fingerprint: &&Fingerprint| records[*fingerprint].ends >= ENDS_TO_HOLD_BACK;
             let mut strong = end.suspects.iter().filter(is_strong);
             if let (Some(only), None) = (strong.next().copied(), strong.next())
                 && let Some(record) = records.get_mut(&only)
             {
-                record.is_guilty = true;
+                record.is_held_back = true;
             }
         }
         for (fingerprint, record) in &mut records {
@@ -460,7 +450,7 @@
             }
         }
         if changed {
-            self.judge();
+            self.derive_records();
         }
     }
 }
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -2,11 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use model::InstanceId;
 use policy::{CrashNews, Crashes, EndKey, EndReport, Fingerprint, Treatment};
 use proptest::collection::vec;
 use proptest::prelude::{any, prop_assert, prop_assert_eq, proptest};
-use smol_str::SmolStr;
 
 const SECOND: Duration = Duration::from_secs(1);
 const GUILTY: Fingerprint = Fingerprint(1);
@@ -92,9 +90,7 @@
     let mut crashes = Crashes::default();
     crashes.record_whole_run(INNOCENT, now);
     for key in 0..8 {
-        let target = InstanceId::from("i-1");
-        let daemon = SmolStr::from("machine-1");
-        crashes.record_suspect(EndKey(key), &target, &daemon, INNOCENT, now);
+        crashes.record_end(end(key, &[INNOCENT]).ends.remove(0), now);
         crashes.merge(&end(100 + key, &[INNOCENT]), now);
         assert!(!is_held(&crashes, INNOCENT, now));
     }
@@ -239,3 +235,22 @@
         }
     }
 }
+
+/// Guards against a daemon that stands still for longer than others wait for its word when a busy
+/// target ends, which costs the more the more is known.
+#[test]
+fn the_end_of_a_busy_target_is_recorded_at_once() {
+    const MAX_TIME: Duration = Duration::from_millis(300);
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for key in 0..150 {
+        let first = 10_000 + key * 200;
+        let known: Vec<_> = (first..first + 200).map(Fingerprint).collect();
+        crashes.merge(&end(key, &known), now);
+    }
+    let in_flight: Vec<_> = (1_000_000..1_000_400).map(Fingerprint).collect();
+    let began = Instant::now();
+    crashes.record_end(end(1_000, &in_flight).ends.remove(0), now);
+    let took = began.elapsed();
+    assert!(took < MAX_TIME, "{took:?}");
+}
--- a/crates/policy/tests/patterns/query_of_death.rs
+++ b/crates/policy/tests/patterns/query_of_death.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use model::InstanceId;
-use policy::{CrashNews, Crashes, EndKey, Fingerprint, Treatment};
+use policy::{CrashNews, Crashes, EndKey, EndReport, Fingerprint, Treatment};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -198,11 +198,14 @@
         down.up_at = self.step + DOWN_STEPS;
         let runs = std::mem::take(&mut down.runs);
         let waiting = std::mem::take(&mut down.waiting);
-        for run in &runs {
-            let fingerprint = run.request.fingerprint;
-            down.crashes
-                .record_suspect(key, &id, &daemon, fingerprint, now);
-        }
+        let end = EndReport {
+            key,
+            target: id,
+            daemon,
+            age: Duration::ZERO,
+            suspects: runs.iter().map(|run| run.request.fingerprint).collect(),
+        };
+        down.crashes.record_end(end, now);
         for run in runs {
             let request = run.request;
             let crashes = &self.targets[target].crashes;
--- a/crates/relay/src/held.rs
+++ b/crates/relay/src/held.rs
@@ -29,7 +29,7 @@
     let Some(fingerprint) = fingerprint.filter(|_| req.method() == Method::DELETE) else {
         return Some(status_only(StatusCode::BAD_REQUEST));
     };
-    if !relay.crashes.borrow_mut().clear(fingerprint) {
+    if !relay.crashes.borrow_mut().clear(&[fingerprint]) {
         return Some(status_only(StatusCode::NOT_FOUND));
     }
     log::warn!(fingerprint:%; "request released by an operator");
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -280,11 +280,13 @@
         return refused_by_target(relay, &head, slot, connection);
     }
     let now = Instant::now().into_std();
-    relay
+    let is_cleared = relay
         .crashes
         .borrow_mut()
         .record_whole_run(fingerprint, now);
-    relay.crash_exchange.notify();
+    if is_cleared {
+        relay.crash_exchange.notify();
+    }
     let answer_headers = head.headers.clone();
     strip_hop_by_hop(&mut head.headers);
     body.set_expiry(deadline + STREAM_OVERRUN);
--- a/crates/relay/src/target_end.rs
+++ b/crates/relay/src/target_end.rs
@@ -1,13 +1,12 @@
 //! Detection of the end of the local target, and of the requests that were in flight then.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use model::InstanceId;
-use policy::{EndKey, Fingerprint};
+use policy::{EndKey, EndReport, Fingerprint};
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 use tokio::time::{Instant, sleep, timeout};
@@ -25,59 +24,68 @@
 pub(crate) struct EndDetector {
     /// The probe in progress, which all requests that broke off share.
     probe: RefCell<Option<Rc<OnceCell<bool>>>>,
-    /// The end that requests which break off now count towards.
-    current: Cell<Option<EndKey>>,
-    /// Requests that were in flight at that end, so far.
+    /// Requests that were in flight at the end being recorded.
     in_flight: RefCell<Vec<Fingerprint>>,
+    /// Set once that end is recorded.
+    recorded: RefCell<Option<Rc<OnceCell<()>>>>,
 }
 
-/// Records that the connection to the local target broke while it ran a request, and finds out
-/// whether the target has ended.
+/// Finds out whether the local target has ended, after the connection to it broke during a run.
+/// Returns once the end is recorded with all requests that were in flight.
 pub(crate) async fn record_broken_run(relay: &Rc<Relay>, fingerprint: Fingerprint) {
     let detector = &relay.target_end;
-    let probe = Rc::clone(detector.probe.borrow_mut().get_or_insert_default());
-    let has_ended = *probe
-        .get_or_init(|| refuses_connections(relay.cfg.target))
-        .await;
-    detector
-        .probe
-        .borrow_mut()
-        .take_if(|current| Rc::ptr_eq(current, &probe));
-    if !has_ended {
+    let target = relay.cfg.target;
+    if !share(&detector.probe, || refuses_connections(target)).await {
         return;
     }
     detector.in_flight.borrow_mut().push(fingerprint);
-    let end = detector.current.get().unwrap_or_else(|| {
-        let end = EndKey(rand::random());
-        detector.current.set(Some(end));
-        tokio::task::spawn_local(log_end(Rc::clone(relay), end));
-        end
-    });
-    let target_id = local_target_id(relay);
-    let now = Instant::now().into_std();
-    let mut crashes = relay.crashes.borrow_mut();
-    crashes.record_suspect(end, &target_id, &relay.cfg.name, fingerprint, now);
-    relay.crash_exchange.notify();
+    // A task of its own, as the requests that wait for it may be cancelled.
+    let recorded = || async {
+        let task = tokio::task::spawn_local(record_end(Rc::clone(relay)));
+        if let Err(error) = task.await {
+            log::error!(error:%; "failed to record the end of the target");
+        }
+    };
+    share(&detector.recorded, recorded).await;
 }
 
-fn local_target_id(relay: &Relay) -> InstanceId {
-    let target = relay.view.borrow().local_target.clone();
-    target.map(|target| target.id).unwrap_or_default()
+/// Runs a task once for all that wait for it at the same time.
+async fn share<T: Clone, F: Future<Output = T>>(
+    slot: &RefCell<Option<Rc<OnceCell<T>>>>,
+    task: impl FnOnce() -> F,
+) -> T {
+    let shared = Rc::clone(slot.borrow_mut().get_or_insert_default());
+    let result = shared.get_or_init(task).await.clone();
+    slot.borrow_mut()
+        .take_if(|current| Rc::ptr_eq(current, &shared));
+    result
 }
 
-/// Logs an end once all requests that were in flight are known.
-async fn log_end(relay: Rc<Relay>, end: EndKey) {
+/// Records and logs an end, once all requests that were in flight are known.
+async fn record_end(relay: Rc<Relay>) {
     sleep(COLLECTION_TIME).await;
-    relay.target_end.current.set(None);
-    let in_flight = relay.target_end.in_flight.take();
-    let target_id = local_target_id(&relay);
-    let fingerprints: Vec<String> = in_flight.iter().map(ToString::to_string).collect();
+    let suspects = relay.target_end.in_flight.take();
+    if suspects.is_empty() {
+        return;
+    }
+    let target = relay.view.borrow().local_target.clone();
+    let end = EndReport {
+        key: EndKey(rand::random()),
+        target: target.map(|target| target.id).unwrap_or_default(),
+        daemon: relay.cfg.name.clone(),
+        age: Duration::ZERO,
+        suspects,
+    };
+    let fingerprints: Vec<String> = end.suspects.iter().map(ToString::to_string).collect();
     log::warn!(
-        target_id = target_id.as_str(),
-        end:%,
+        target_id = end.target.as_str(),
+        end:% = end.key,
         fingerprints = fingerprints.join(" ").as_str();
         "target ended"
     );
+    let now = Instant::now().into_std();
+    relay.crashes.borrow_mut().record_end(end, now);
+    relay.crash_exchange.notify();
 }
 
 async fn refuses_connections(target: SocketAddr) -> bool {
