Tell other daemons only the verdict on a request, not what makes it a suspect

What was known of a suspect travelled with its sends and answers and named it alone at each end. A daemon that lacked the other reports took it for the only suspect and held it back, though the sender did not: with three ends shared by two requests, the innocent one (new test, red before). Now only the answer to a request that is held back carries its ends; the rest spreads as whole reports and by digests. A header or request that can't be built is logged.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -261,20 +261,19 @@
         }
     }
 
-    /// Returns all that is known of one request.
+    /// Returns the ends for which a request is held back, so that another daemon holds it back, too;
+    /// nothing for any other request.
+    ///
+    /// Only one of the suspects of each end is named, so the ends of a request that is not held
+    /// back would look as if no other had been in flight.
     #[must_use]
-    pub fn about(&self, fingerprint: Fingerprint, now: Instant) -> CrashNews {
-        if self.ends_of(fingerprint) == 0 {
-            return CrashNews::default();
-        }
-        let ends = self.ends.iter();
-        let ends = ends.filter(|(_, end)| end.suspects.contains(&fingerprint));
-        CrashNews {
-            ends: ends
-                .map(|(key, end)| end.report(*key, vec![fingerprint], now))
-                .collect(),
-            cleared: Vec::new(),
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> CrashNews {
+        let record = self.records.get(&fingerprint);
+        let mut news = CrashNews::default();
+        if record.is_some_and(|record| record.is_held_back) {
+            news.ends = self.describe(fingerprint, now).ends;
         }
+        news
     }
 
     /// Returns all that is known.
@@ -334,7 +333,11 @@
     /// Returns the ends of which a request is a suspect.
     #[must_use]
     pub fn describe(&self, fingerprint: Fingerprint, now: Instant) -> HeldRequest {
-        let mut ends = self.about(fingerprint, now).ends;
+        let ends = self.ends.iter();
+        let mut ends: Vec<EndReport> = ends
+            .filter(|(_, end)| end.suspects.contains(&fingerprint))
+            .map(|(key, end)| end.report(*key, vec![fingerprint], now))
+            .collect();
         ends.sort_by_key(|end| Reverse(end.age));
         HeldRequest { fingerprint, ends }
     }
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -236,6 +236,23 @@
     }
 }
 
+/// Guards against holding back a request because the reports of another daemon name it alone among
+/// those that were in flight.
+#[test]
+fn a_request_that_another_daemon_does_not_hold_back_is_not_held_back_by_its_record() {
+    let now = Instant::now();
+    let both = &[GUILTY, INNOCENT][..];
+    let elsewhere = after_ends(&[both, both, both], now);
+    assert_eq!(elsewhere.treatment(INNOCENT, now), Treatment::Alone);
+    let mut here = Crashes::default();
+    here.merge(&elsewhere.verdict(INNOCENT, now), now);
+    assert!(!is_held(&here, INNOCENT, now));
+    let guilty = &[GUILTY][..];
+    let elsewhere = after_ends(&[guilty, guilty, guilty], now);
+    here.merge(&elsewhere.verdict(GUILTY, now), now);
+    assert!(is_held(&here, GUILTY, now));
+}
+
 /// Guards against a daemon that stands still for longer than others wait for its word when a busy
 /// target ends, which costs the more the more is known.
 #[test]
--- a/crates/relay/src/crash_news.rs
+++ b/crates/relay/src/crash_news.rs
@@ -1,8 +1,8 @@
 //! Exchange of [`CrashNews`] between daemons.
 //!
-//! A forwarded request and its answer carry what the sender knows of that request. Everything else
-//! spreads in two ways: a daemon that learns something new passes it on to a few others, and
-//! daemons whose digests differ fetch what they lack from each other.
+//! News spread in two ways: a daemon that learns something new passes it on to a few others, and
+//! daemons whose digests differ fetch what they lack from each other. Besides, the answer to a
+//! request that is held back carries the verdict, for the daemon where the request began.
 
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use policy::{CrashNews, Fingerprint};
@@ -21,13 +21,14 @@
 use wire::hop::{CRASH_DIGEST, CRASHES};
 
 use crate::payload::Payload;
+use crate::piggyback;
 use crate::relay::Relay;
 use crate::responses::status_only;
 
 /// Path at which a daemon takes and returns reports of ended targets.
 pub(crate) const PATH: &str = "/-/berylhead/crashes";
-/// Number of daemons to which each daemon passes on what is new to it. With four, 2% hear
-/// nothing this way and find out by a digest.
+/// Number of daemons to which each daemon passes on what is new to it. The few that hear nothing
+/// this way find out by a digest.
 const FANOUT: usize = 4;
 /// Time for which news are collected before they are passed on.
 const COLLECTION_TIME: Duration = Duration::from_millis(5);
@@ -52,19 +53,17 @@
     }
 }
 
-/// Adds what is known of a request to the headers of that request or of its answer.
-pub(crate) fn write(relay: &Relay, fingerprint: Fingerprint, headers: &mut HeaderMap) {
+/// Adds the verdict on a request to the headers of its answer, if it is held back.
+pub(crate) fn write_verdict(relay: &Relay, fingerprint: Fingerprint, headers: &mut HeaderMap) {
     let now = Instant::now().into_std();
-    let news = relay.crashes.borrow().about(fingerprint, now);
-    if !news.is_empty()
-        && let Ok(value) = HeaderValue::from_str(&news.to_string())
-    {
-        headers.insert(CRASHES, value);
+    let news = relay.crashes.borrow().verdict(fingerprint, now);
+    if !news.is_empty() {
+        piggyback::insert(headers, CRASHES, &news.to_string());
     }
 }
 
-/// Removes the header that [`write`] added, and merges its content.
-pub(crate) fn take(relay: &Relay, headers: &mut HeaderMap) {
+/// Removes the header that [`write_verdict`] added, and merges its content.
+pub(crate) fn take_verdict(relay: &Relay, headers: &mut HeaderMap) {
     if let Some(value) = headers.remove(CRASHES) {
         merge(relay, value.as_bytes());
     }
@@ -73,10 +72,8 @@
 /// Adds the digest of all that is known.
 pub(crate) fn write_digest(relay: &Relay, headers: &mut HeaderMap) {
     let digest = relay.crashes.borrow().digest();
-    if digest != 0
-        && let Ok(value) = HeaderValue::from_str(&format!("{digest:016x}"))
-    {
-        headers.insert(CRASH_DIGEST, value);
+    if digest != 0 {
+        piggyback::insert(headers, CRASH_DIGEST, &format!("{digest:016x}"));
     }
 }
 
@@ -189,7 +186,13 @@
     let req = Request::post(PATH)
         .header(header::HOST, "daemon")
         .body(Payload::Buffered(text));
-    let Ok(req) = req else { return };
+    let req = match req {
+        Ok(req) => req,
+        Err(error) => {
+            log::error!(error:%; "reports of ended targets not passed on");
+            return;
+        }
+    };
     match relay.connection_pool.send(to, req).await {
         Ok(reply) => relay
             .connection_pool
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -288,7 +288,7 @@
             (outcome, Some(report))
         } else {
             let policy = self.loss_policy(service, key);
-            mesh::send(self.relay, target, &hop, policy, forward, self.fingerprint).await
+            mesh::send(self.relay, target, &hop, policy, forward).await
         };
         if let Some(report) = &report {
             piggyback::record_report(self.relay, service, &target.id, report);
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use model::{Outcome, Refusal, RefusalReason};
-use policy::{Fingerprint, SendKey};
+use policy::SendKey;
 use routes::Target;
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::Instant;
@@ -58,7 +58,6 @@
     hop: &Hop,
     policy: LossPolicy,
     mut forward: ForwardedRequest,
-    fingerprint: Fingerprint,
 ) -> (ForwardOutcome, Option<TargetReport>) {
     let Ok(value) = HeaderValue::from_str(&hop.to_string()) else {
         let outcome = ForwardOutcome::not_run(RefusalReason::Invalid, UNREACHABLE_RETRY_AFTER);
@@ -66,7 +65,6 @@
     };
     forward.head.headers.insert(HOP, value);
     piggyback::write_view_stamp(relay, &mut forward.head.headers);
-    crash_news::write(relay, fingerprint, &mut forward.head.headers);
     let to = relay.daemon_address(target);
     let life = relay.known_daemons.life(to);
     let sending = relay.connection_pool.send(to, forward.into_request());
@@ -98,7 +96,7 @@
     };
     let mut head = reply.head;
     piggyback::take_view_stamp(relay, to, &mut head.headers);
-    crash_news::take(relay, &mut head.headers);
+    crash_news::take_verdict(relay, &mut head.headers);
     let end = head
         .headers
         .remove(HOP_END)
@@ -160,7 +158,6 @@
     let (mut head, body) = req.into_parts();
     let from = SocketAddr::new(from, relay.cfg.listen.mesh.port());
     piggyback::take_view_stamp(relay, from, &mut head.headers);
-    crash_news::take(relay, &mut head.headers);
     if let Some(res) = pull::serve(relay, &head).or_else(|| fate::serve(relay, &head)) {
         return res;
     }
@@ -191,7 +188,7 @@
     let fingerprint = forward.fingerprint(&relay.names);
     let outcome = local_target::run(relay, hop, forward, fingerprint).await;
     let mut res = answer(relay, id.as_ref(), &route, outcome);
-    crash_news::write(relay, fingerprint, res.headers_mut());
+    crash_news::write_verdict(relay, fingerprint, res.headers_mut());
     res
 }
 
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use model::InstanceId;
 use tokio::time::Instant;
-use wire::hop::{CRASH_DIGEST, CRASHES, HOP};
+use wire::hop::HOP;
 
 use crate::dispatch::{Dispatch, millis};
 use crate::guards::InFlightGuard;
@@ -115,9 +115,7 @@
 /// Prepares the head of a request for forwarding.
 fn forwarded_head(relay: &Relay, mut head: Parts) -> Parts {
     strip_hop_by_hop(&mut head.headers);
-    for name in [HOP, CRASHES, CRASH_DIGEST] {
-        head.headers.remove(name);
-    }
+    head.headers.remove(HOP);
     if let Ok(service) = HeaderValue::from_str(relay.cfg.service.as_str()) {
         head.headers
             .insert(relay.names.origin_service.clone(), service);
--- a/crates/relay/src/piggyback.rs
+++ b/crates/relay/src/piggyback.rs
@@ -225,7 +225,7 @@
 }
 
 /// Adds a header, unless its value has characters that a header must not contain.
-fn insert(headers: &mut HeaderMap, name: http::HeaderName, text: &str) {
+pub(crate) fn insert(headers: &mut HeaderMap, name: http::HeaderName, text: &str) {
     match HeaderValue::from_str(text) {
         Ok(value) => {
             headers.insert(name, value);
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -30,8 +30,7 @@
 /// Request and response header that carries a [`ViewStamp`].
 pub const VIEW: HeaderName = HeaderName::from_static("berylhead-view");
 
-/// Request and response header with what the sender knows of the targets that the request may have
-/// crashed.
+/// Response header with the targets that a request crashed, for which it is held back.
 pub const CRASHES: HeaderName = HeaderName::from_static("berylhead-crashes");
 /// Request and response header with the digest of all ends of targets that the sender knows of, in
 /// hexadecimal; absent if it knows of none.
