Ignore what a target claims of ended targets in its answers

A target that put berylhead-crashes into its answers made the origin hold back requests of its choice: the daemon beside it replaced the header only when it had one of its own (new test, red without the removal). The header, and that with the digest, are now removed from each answer first. The tests' list of requests held back must be a whole answer with status 200; a failed one counted as an empty list.

--- a/crates/relay/src/crash_news.rs
+++ b/crates/relay/src/crash_news.rs
@@ -55,6 +55,8 @@
 
 /// Adds the verdict on a request to the headers of its answer, if it is held back.
 pub(crate) fn write_verdict(relay: &Relay, fingerprint: Fingerprint, headers: &mut HeaderMap) {
+    // The target may have sent a header of this name.
+    headers.remove(CRASHES);
     let now = Instant::now().into_std();
     let news = relay.crashes.borrow().verdict(fingerprint, now);
     if !news.is_empty() {
@@ -71,6 +73,7 @@
 
 /// Adds the digest of all that is known.
 pub(crate) fn write_digest(relay: &Relay, headers: &mut HeaderMap) {
+    headers.remove(CRASH_DIGEST);
     let digest = relay.crashes.borrow().digest();
     if digest != 0 {
         piggyback::insert(headers, CRASH_DIGEST, &format!("{digest:016x}"));
