Split the sends in flight from the dispatch of requests

dispatch.rs held both the choice of what to do with a request and the report of each send to the router.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -16,7 +16,8 @@
 use crate::metrics::RequestOutcome;
 use crate::origin_request::OriginRequest;
 use crate::payload::Payload;
-use crate::piggyback::{self, TargetReport};
+use crate::pending_send::{PendingSend, call_outcome};
+use crate::piggyback;
 use crate::relay::Relay;
 use crate::responses::{service_unavailable, status_only};
 use crate::suspects;
@@ -274,13 +275,7 @@
         self.tried.push(key);
         self.last_target.replace(Some(target.id.clone()));
         let began = Instant::now();
-        let mut pending = PendingSend {
-            relay: self.relay,
-            service,
-            key,
-            began,
-            pending: true,
-        };
+        let mut pending = PendingSend::new(self.relay, service, key, began);
         let hop = self.hop(target, began);
         let (outcome, report) = if target.address == self.relay.cfg.target {
             let outcome = local_target::run(self.relay, hop, forward, self.fingerprint).await;
@@ -456,59 +451,6 @@
     }
 }
 
-/// A send that the router counts as in flight until its outcome is reported; dropping it reports
-/// it as cancelled.
-struct PendingSend<'a> {
-    relay: &'a Relay,
-    service: &'a ServiceName,
-    key: InstanceKey,
-    began: Instant,
-    pending: bool,
-}
-
-impl PendingSend<'_> {
-    fn finish(&mut self, outcome: CallOutcome, report: Option<TargetReport>) {
-        self.pending = false;
-        let now = Instant::now();
-        let latency = now.saturating_duration_since(self.began);
-        self.relay.with_service(self.service, |state| {
-            if let Some(report) = report {
-                state.router.report_run_time(self.key, report.run_time);
-            }
-            let load = report.and_then(|report| report.load);
-            state
-                .router
-                .finish(self.key, outcome, latency, load, now.into_std());
-            state.log_health_change(self.service, self.key, now);
-        });
-    }
-}
-
-impl Drop for PendingSend<'_> {
-    fn drop(&mut self) {
-        if self.pending {
-            self.finish(CallOutcome::Cancelled, None);
-        }
-    }
-}
-
-fn call_outcome(outcome: &ForwardOutcome) -> CallOutcome {
-    match outcome {
-        // A target's own 504 says that the time was too short.
-        ForwardOutcome::Answered { head, .. }
-            if head.status.is_server_error() && head.status != StatusCode::GATEWAY_TIMEOUT =>
-        {
-            CallOutcome::ServerError
-        }
-        ForwardOutcome::Answered { .. } => CallOutcome::Answered,
-        ForwardOutcome::NotRun {
-            at_target: true, ..
-        } => CallOutcome::TargetRefused,
-        ForwardOutcome::NotRun { refusal, .. } => CallOutcome::NotRun(refusal.reason),
-        ForwardOutcome::Unknown { .. } => CallOutcome::Unknown,
-    }
-}
-
 /// Converts to whole milliseconds, for logs.
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod origin;
 mod origin_request;
 mod payload;
+mod pending_send;
 mod piggyback;
 mod pull;
 mod relay;
