--- /dev/null
+++ b/review/standins/src/backend.rs
@@ -0,0 +1,348 @@
+//! A sound application backend: it registers in the store, runs as many requests at a time as it
+//! has slots, queues a few more, and drops a request when its connection closes.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::record::Record;
+use crate::store::Store;
+use crate::window;
+use crate::wire::{Framing, Head, Wire};
+
+/// Interval at which a waiting or running request checks its connection and its deadline.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Idle timeout of a connection, as the `Keep-Alive` header states it.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Properties of a backend.
+#[derive(Clone)]
+pub struct Config {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub slots: usize,
+    /// Requests that wait for a slot, at most.
+    pub queue: usize,
+    pub heartbeat: Duration,
+    /// True if its connections have a small receive window.
+    pub small_window: bool,
+    /// A backend in trouble sends a body that does not end in one of so many answers.
+    pub endless_one_in: Option<usize>,
+}
+
+/// What happened to one request at a backend.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub request: String,
+    pub backend: String,
+    pub caller: String,
+    /// When the backend began to work on it, and when it stopped.
+    pub began: Instant,
+    pub ended: Option<Instant>,
+    /// True if the whole answer was written.
+    pub answered: bool,
+}
+
+#[derive(Default)]
+struct Slots {
+    running: usize,
+    waiting: usize,
+}
+
+struct Shared {
+    cfg: Config,
+    record: Record,
+    slots: Mutex<Slots>,
+    freed: Condvar,
+    runs: Arc<Mutex<Vec<Run>>>,
+    answers: AtomicUsize,
+}
+
+/// A running backend; copies share it.
+#[derive(Clone)]
+pub struct Backend {
+    shared: Arc<Shared>,
+}
+
+impl Backend {
+    /// Starts a backend and registers it.
+    ///
+    /// The query of a request tells what it costs: `work`, in milliseconds, and `bytes`, the size of
+    /// the answer. With `pause`, the backend waits so many milliseconds after the first 16 KiB of
+    /// the request body before it reads on.
+    ///
+    /// # Panics
+    ///
+    /// If it can't listen on its address.
+    #[must_use]
+    pub fn start(cfg: Config, store: &Store, record: &Record, runs: &Arc<Mutex<Vec<Run>>>) -> Self {
+        /// The kernel doubles it for its own use.
+        const RECEIVE_BUFFER_BYTES: i32 = 4 << 10;
+        let listener = TcpListener::bind(cfg.address).expect("the address is free");
+        if cfg.small_window {
+            let limited = window::limit_accepted(&listener, RECEIVE_BUFFER_BYTES);
+            limited.expect("the receive buffer can be set");
+        }
+        let backend = Backend {
+            shared: Arc::new(Shared {
+                cfg,
+                record: record.clone(),
+                slots: Mutex::default(),
+                freed: Condvar::new(),
+                runs: Arc::clone(runs),
+                answers: AtomicUsize::new(0),
+            }),
+        };
+        let accepting = backend.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let backend = accepting.clone();
+                thread::spawn(move || backend.serve(stream));
+            }
+        });
+        let beating = backend.clone();
+        let store = store.clone();
+        thread::spawn(move || beating.heartbeats(&store));
+        backend
+    }
+
+    fn heartbeats(&self, store: &Store) {
+        let cfg = &self.shared.cfg;
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis());
+        for seq in 1u64.. {
+            let entry = format!(
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+                 \"slots\":{},\"state\":\"ready\",\"coldRemaining\":\"0ms\",\"seq\":{seq},\
+                 \"born\":{born}}}",
+                cfg.service, cfg.address, cfg.zone, cfg.slots
+            );
+            store.put(&format!("servers/{}", cfg.id), &entry);
+            thread::sleep(cfg.heartbeat);
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(IDLE_TIMEOUT));
+        let mut wire = Wire::new(stream);
+        while let Ok(Some(head)) = wire.head() {
+            if !self.answer(&mut wire, &head) {
+                return;
+            }
+        }
+    }
+
+    /// Answers one request; `false` if the connection is to be closed.
+    fn answer(&self, wire: &mut Wire, head: &Head) -> bool {
+        let shared = &*self.shared;
+        let id = head.get("berylhead-request-id").to_owned();
+        let began = Instant::now();
+        let framing = Wire::framing(head, true);
+        let pause = head.query_number("pause").map(Duration::from_millis);
+        if let (Framing::Length(length), Some(pause)) = (framing, pause) {
+            // The backend starts on an upload while its body is still coming in.
+            return self.run_upload(wire, head, &id, length, pause);
+        }
+        if wire.body(framing).is_err() {
+            return false;
+        }
+        if head.word(1).starts_with("/healthz") {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nBerylhead-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                shared.cfg.id
+            );
+            return wire.stream.write_all(text.as_bytes()).is_ok();
+        }
+        if id.is_empty() {
+            return refuse(wire, "400 Bad Request", "");
+        }
+        let expected = head.get("berylhead-expected-instance");
+        if !expected.is_empty() && expected != shared.cfg.id {
+            return refuse(wire, "421 Misdirected Request", &id);
+        }
+        let deadline = head.get("berylhead-deadline-ms").parse();
+        let deadline = began + Duration::from_millis(deadline.unwrap_or(60_000));
+        if !self.wait_for_slot(wire, deadline) {
+            return !wire.is_closed() && refuse(wire, "503 Service Unavailable", &id);
+        }
+        let run = self.begin(head, &id);
+        let work = Duration::from_millis(head.query_number("work").unwrap_or(10));
+        let whole = self.work(wire, work, deadline);
+        let is_sent = match whole {
+            Some(true) if self.is_next_endless() => {
+                let text = format!("{} sends a body without end for {id}", shared.cfg.id);
+                shared.record.line(&text);
+                send_without_end(wire, &id);
+                false
+            }
+            Some(true) => {
+                let bytes = head.query_number("bytes").unwrap_or(200);
+                let body = body_of(&id, usize::try_from(bytes).unwrap_or(200));
+                let sent = respond(wire, "200 OK", &id, &body);
+                shared
+                    .record
+                    .line(&format!("{} answered {id}", shared.cfg.id));
+                sent
+            }
+            Some(false) => respond(wire, "504 Gateway Timeout", &id, b""),
+            None => false,
+        };
+        self.end(run, is_sent);
+        is_sent
+    }
+
+    fn is_next_endless(&self) -> bool {
+        let Some(one_in) = self.shared.cfg.endless_one_in else {
+            return false;
+        };
+        let number = self.shared.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        number.is_multiple_of(one_in)
+    }
+
+    fn run_upload(
+        &self,
+        wire: &mut Wire,
+        head: &Head,
+        id: &str,
+        length: usize,
+        pause: Duration,
+    ) -> bool {
+        const FIRST_BYTES: usize = 16 << 10;
+        let run = self.begin(head, id);
+        let first = length.min(FIRST_BYTES);
+        let mut whole = wire.body(Framing::Length(first)).is_ok();
+        thread::sleep(pause);
+        whole = whole && wire.body(Framing::Length(length - first)).is_ok();
+        let is_sent = whole && respond(wire, "200 OK", id, &body_of(id, 200));
+        if !whole {
+            let shared = &*self.shared;
+            shared
+                .record
+                .line(&format!("{} body of {id} broke off", shared.cfg.id));
+        }
+        self.end(run, is_sent);
+        is_sent
+    }
+
+    fn begin(&self, head: &Head, id: &str) -> usize {
+        let shared = &*self.shared;
+        shared.record.line(&format!("{} runs {id}", shared.cfg.id));
+        let mut runs = shared.runs.lock().expect("no holder panics");
+        runs.push(Run {
+            request: id.to_owned(),
+            backend: shared.cfg.id.clone(),
+            caller: head.get("berylhead-caller-service").to_owned(),
+            began: Instant::now(),
+            ended: None,
+            answered: false,
+        });
+        runs.len() - 1
+    }
+
+    fn end(&self, run: usize, answered: bool) {
+        let shared = &*self.shared;
+        let mut runs = shared.runs.lock().expect("no holder panics");
+        runs[run].ended = Some(Instant::now());
+        runs[run].answered = answered;
+        drop(runs);
+        let mut slots = shared.slots.lock().expect("no holder panics");
+        slots.running = slots.running.saturating_sub(1);
+        shared.freed.notify_one();
+    }
+
+    /// Waits for a slot; `false` if the backend is full, or the deadline has passed or the
+    /// connection was closed meanwhile.
+    fn wait_for_slot(&self, wire: &Wire, deadline: Instant) -> bool {
+        let shared = &*self.shared;
+        let mut slots = shared.slots.lock().expect("no holder panics");
+        if slots.running >= shared.cfg.slots {
+            if slots.waiting >= shared.cfg.queue {
+                return false;
+            }
+            slots.waiting += 1;
+            while slots.running >= shared.cfg.slots {
+                let waited = shared.freed.wait_timeout(slots, CHECK_INTERVAL);
+                slots = waited.expect("no holder panics").0;
+                if Instant::now() >= deadline || wire.is_closed() {
+                    slots.waiting -= 1;
+                    return false;
+                }
+            }
+            slots.waiting -= 1;
+        }
+        slots.running += 1;
+        true
+    }
+
+    /// Works for some time: `Some(true)` when done, `Some(false)` at the deadline, `None` if the
+    /// connection was closed.
+    fn work(&self, wire: &Wire, work: Duration, deadline: Instant) -> Option<bool> {
+        let done = Instant::now() + work;
+        loop {
+            let now = Instant::now();
+            if now >= deadline {
+                return Some(false);
+            }
+            if now >= done {
+                return Some(true);
+            }
+            if wire.is_closed() {
+                return None;
+            }
+            thread::sleep(CHECK_INTERVAL.min(done - now));
+        }
+    }
+}
+
+/// Sends the head of an answer without a length, and a body until the caller closes.
+fn send_without_end(wire: &mut Wire, id: &str) {
+    const PIECE_BYTES: usize = 64 << 10;
+    const INTERVAL: Duration = Duration::from_millis(10);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nBerylhead-Request-Id: {id}\r\nBerylhead-Server-Signature: s-{id}\r\n\r\n"
+    );
+    let piece = [b'#'; PIECE_BYTES];
+    let mut is_open = wire.stream.write_all(head.as_bytes()).is_ok();
+    while is_open {
+        is_open = wire.stream.write_all(&piece).is_ok();
+        thread::sleep(INTERVAL);
+    }
+}
+
+fn refuse(wire: &mut Wire, status: &str, id: &str) -> bool {
+    let echo = if id.is_empty() {
+        String::new()
+    } else {
+        format!("Berylhead-Request-Id: {id}\r\n")
+    };
+    let text = format!(
+        "HTTP/1.1 {status}\r\n{echo}Berylhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    );
+    wire.stream.write_all(text.as_bytes()).is_ok()
+}
+
+fn respond(wire: &mut Wire, status: &str, id: &str, body: &[u8]) -> bool {
+    let text = format!(
+        "HTTP/1.1 {status}\r\nBerylhead-Request-Id: {id}\r\nBerylhead-Server-Signature: s-{id}\r\n\
+         Keep-Alive: timeout={}\r\nContent-Length: {}\r\n\r\n",
+        IDLE_TIMEOUT.as_secs(),
+        body.len()
+    );
+    let mut answer = text.into_bytes();
+    answer.extend_from_slice(body);
+    wire.stream.write_all(&answer).is_ok()
+}
+
+/// The bytes that a backend answers a request with.
+#[must_use]
+pub fn body_of(id: &str, length: usize) -> Vec<u8> {
+    let seed = format!("{id};");
+    seed.bytes().cycle().take(length).collect()
+}
