Review case 1: a late refusal without an id makes a booking run twice

Cause: an answer without an id is taken for that of the request in flight if it is a refusal. Additional bytes that a faulty backend sends late, where the next answer is expected, so count as 'not run', and the request is sent to another backend while the first one runs it.

--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -31,8 +31,18 @@
     pub heartbeat: Duration,
     /// True if its connections have a small receive window.
     pub small_window: bool,
-    /// A backend in trouble sends a body that does not end in one of so many answers.
-    pub endless_one_in: Option<usize>,
+    /// What the backend does wrong, if it is in trouble.
+    pub trouble: Option<Trouble>,
+}
+
+/// A trouble of a backend, which shows in one of so many answers.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    /// The body of the answer doesn't end until the caller closes.
+    EndlessBody { one_in: usize },
+    /// Additional bytes follow the answer late, when the next one is expected: a refusal that belongs
+    /// to no request.
+    LateRefusal { one_in: usize },
 }
 
 /// What happened to one request at a backend.
@@ -132,15 +142,21 @@
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(IDLE_TIMEOUT));
         let mut wire = Wire::new(stream);
+        // True if additional bytes are to follow the last answer.
+        let mut has_stray = false;
         while let Ok(Some(head)) = wire.head() {
-            if !self.answer(&mut wire, &head) {
+            if has_stray && !refuse(&mut wire, "400 Bad Request", "") {
+                return;
+            }
+            has_stray = false;
+            if !self.answer(&mut wire, &head, &mut has_stray) {
                 return;
             }
         }
     }
 
     /// Answers one request; `false` if the connection is to be closed.
-    fn answer(&self, wire: &mut Wire, head: &Head) -> bool {
+    fn answer(&self, wire: &mut Wire, head: &Head, has_stray: &mut bool) -> bool {
         let shared = &*self.shared;
         let id = head.get("berylhead-request-id").to_owned();
         let began = Instant::now();
@@ -176,20 +192,24 @@
         let work = Duration::from_millis(head.query_number("work").unwrap_or(10));
         let whole = self.work(wire, work, deadline);
         let is_sent = match whole {
-            Some(true) if self.is_next_endless() => {
-                let text = format!("{} sends a body without end for {id}", shared.cfg.id);
-                shared.record.line(&text);
-                send_without_end(wire, &id);
-                false
-            }
             Some(true) => {
-                let bytes = head.query_number("bytes").unwrap_or(200);
-                let body = body_of(&id, usize::try_from(bytes).unwrap_or(200));
-                let sent = respond(wire, "200 OK", &id, &body);
-                shared
-                    .record
-                    .line(&format!("{} answered {id}", shared.cfg.id));
-                sent
+                let trouble = self.next_trouble();
+                if let Some(trouble) = trouble {
+                    let text = format!("{} {trouble:?} after {id}", shared.cfg.id);
+                    shared.record.line(&text);
+                }
+                if matches!(trouble, Some(Trouble::EndlessBody { .. })) {
+                    send_without_end(wire, &id);
+                    false
+                } else {
+                    *has_stray = trouble.is_some();
+                    let bytes = head.query_number("bytes").unwrap_or(200);
+                    let body = body_of(&id, usize::try_from(bytes).unwrap_or(200));
+                    shared
+                        .record
+                        .line(&format!("{} answered {id}", shared.cfg.id));
+                    respond(wire, "200 OK", &id, &body)
+                }
             }
             Some(false) => respond(wire, "504 Gateway Timeout", &id, b""),
             None => false,
@@ -198,12 +218,12 @@
         is_sent
     }
 
-    fn is_next_endless(&self) -> bool {
-        let Some(one_in) = self.shared.cfg.endless_one_in else {
-            return false;
-        };
+    /// Counts an answer; returns the trouble if it shows in this one.
+    fn next_trouble(&self) -> Option<Trouble> {
+        let trouble = self.shared.cfg.trouble?;
+        let (Trouble::EndlessBody { one_in } | Trouble::LateRefusal { one_in }) = trouble;
         let number = self.shared.answers.fetch_add(1, Ordering::Relaxed) + 1;
-        number.is_multiple_of(one_in)
+        number.is_multiple_of(one_in).then_some(trouble)
     }
 
     fn run_upload(
--- a/review/standins/src/bin/endless.rs
+++ b/review/standins/src/bin/endless.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use review_standins::backend::Trouble;
 use review_standins::client::{Ask, connect, exchange};
 use review_standins::fleet::{Fleet, HOST, MachineSpec, RouteSpec};
 use review_standins::record::Record;
@@ -41,7 +42,7 @@
         slots: 32,
         queue: 32,
         small_window: false,
-        endless_one_in: None,
+        trouble: None,
     }
 }
 
@@ -53,7 +54,7 @@
         machine("rutas", "donosti"),
         machine("fleet", "donosti"),
     ];
-    specs[1].endless_one_in = has_trouble().then_some(ONE_IN);
+    specs[1].trouble = has_trouble().then_some(Trouble::EndlessBody { one_in: ONE_IN });
     let routes = [RouteSpec {
         name: "look",
         service: "rutas",
--- a/review/standins/src/bin/sent_ahead.rs
+++ b/review/standins/src/bin/sent_ahead.rs
@@ -35,7 +35,7 @@
         slots: 32,
         queue: 32,
         small_window: false,
-        endless_one_in: None,
+        trouble: None,
     }
 }
 
--- a/review/standins/src/bin/slow_reader.rs
+++ b/review/standins/src/bin/slow_reader.rs
@@ -32,7 +32,7 @@
         slots: 16,
         queue: 16,
         small_window: false,
-        endless_one_in: None,
+        trouble: None,
     }
 }
 
--- a/review/standins/src/bin/stop_queue.rs
+++ b/review/standins/src/bin/stop_queue.rs
@@ -37,7 +37,7 @@
         slots: 8,
         queue: 8,
         small_window: false,
-        endless_one_in: None,
+        trouble: None,
     }
 }
 
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::backend::{Backend, Config, Run};
+use crate::backend::{Backend, Config, Run, Trouble};
 use crate::client::{Ask, End, connect, exchange};
 use crate::daemon::{Daemon, Machine, Ports};
 use crate::record::Record;
@@ -25,8 +25,8 @@
     pub queue: usize,
     /// True if the backend's connections have a small receive window.
     pub small_window: bool,
-    /// A backend in trouble sends a body that does not end in one of so many answers.
-    pub endless_one_in: Option<usize>,
+    /// What the backend does wrong, if it is in trouble.
+    pub trouble: Option<Trouble>,
 }
 
 /// A route of the configuration, to one service.
@@ -109,7 +109,7 @@
                 queue: spec.queue,
                 heartbeat: Duration::from_millis(1_500),
                 small_window: spec.small_window,
-                endless_one_in: spec.endless_one_in,
+                trouble: spec.trouble,
             };
             let backend = Backend::start(cfg, &fleet.store, &fleet.record, &fleet.runs);
             fleet.backends.push(backend);
