Write what was sent to the records of the review's cases

Cause: three of the drivers only recorded what was answered and run.

Change: a line for each request that a client sends.

--- a/review/standins/src/bin/endless.rs
+++ b/review/standins/src/bin/endless.rs
@@ -110,6 +110,7 @@
         let Some(mut wire) = connect(outbound) else {
             continue;
         };
+        record.line(&format!("client sends {}", ask.id));
         let (end, sent) = exchange(&mut wire, &ask, 200, None);
         let took = sent.elapsed();
         let ms = took.as_millis();
--- a/review/standins/src/bin/late_refusal.rs
+++ b/review/standins/src/bin/late_refusal.rs
@@ -116,6 +116,7 @@
         let Some(mut wire) = connect(outbound) else {
             continue;
         };
+        record.line(&format!("client sends {}", ask.id));
         let (end, _) = exchange(&mut wire, &ask, 200, None);
         record.line(&format!("client of {} got {end:?}", ask.id));
         ends.push((ask.id, end));
--- a/review/standins/src/bin/sent_ahead.rs
+++ b/review/standins/src/bin/sent_ahead.rs
@@ -105,8 +105,10 @@
     let Ok(mut sender) = wire.stream.try_clone() else {
         return Vec::new();
     };
+    let sent = record.clone();
     let sending = thread::spawn(move || {
         for index in 0..SENT_AHEAD {
+            sent.line(&format!("client sends {}", ask(index).id));
             // The connection may be closed behind an answer.
             if sender.write_all(&ask(index).bytes()).is_err() {
                 break;
