Remove what no case of the review uses from its stand-ins

Cause: the slow backend and the restarts of trials are not part of a case.

Change: the stand-ins lose them; warnings of the linter are mended.

--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -10,8 +10,7 @@
 
 use crate::record::Record;
 use crate::store::Store;
-use crate::window;
-use crate::wire::{Framing, Head, Wire};
+use crate::wire::{Head, Wire};
 
 /// Interval at which a waiting or running request checks its connection and its deadline.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -29,8 +28,6 @@
     /// Requests that wait for a slot, at most.
     pub queue: usize,
     pub heartbeat: Duration,
-    /// True if its connections have a small receive window.
-    pub small_window: bool,
     /// What the backend does wrong, if it is in trouble.
     pub trouble: Option<Trouble>,
 }
@@ -83,21 +80,14 @@
     /// Starts a backend and registers it.
     ///
     /// The query of a request tells what it costs: `work`, in milliseconds, and `bytes`, the size of
-    /// the answer. With `pause`, the backend waits so many milliseconds after the first 16 KiB of
-    /// the request body before it reads on.
+    /// the answer.
     ///
     /// # Panics
     ///
     /// If it can't listen on its address.
     #[must_use]
     pub fn start(cfg: Config, store: &Store, record: &Record, runs: &Arc<Mutex<Vec<Run>>>) -> Self {
-        /// The kernel doubles it for its own use.
-        const RECEIVE_BUFFER_BYTES: i32 = 4 << 10;
         let listener = TcpListener::bind(cfg.address).expect("the address is free");
-        if cfg.small_window {
-            let limited = window::limit_accepted(&listener, RECEIVE_BUFFER_BYTES);
-            limited.expect("the receive buffer can be set");
-        }
         let backend = Backend {
             shared: Arc::new(Shared {
                 cfg,
@@ -161,11 +151,6 @@
         let id = head.get("berylhead-request-id").to_owned();
         let began = Instant::now();
         let framing = Wire::framing(head, true);
-        let pause = head.query_number("pause").map(Duration::from_millis);
-        if let (Framing::Length(length), Some(pause)) = (framing, pause) {
-            // The backend starts on an upload while its body is still coming in.
-            return self.run_upload(wire, head, &id, length, pause);
-        }
         if wire.body(framing).is_err() {
             return false;
         }
@@ -190,7 +175,7 @@
         }
         let run = self.begin(head, &id);
         let work = Duration::from_millis(head.query_number("work").unwrap_or(10));
-        let whole = self.work(wire, work, deadline);
+        let whole = self::work(wire, work, deadline);
         let is_sent = match whole {
             Some(true) => {
                 let trouble = self.next_trouble();
@@ -226,31 +211,6 @@
         number.is_multiple_of(one_in).then_some(trouble)
     }
 
-    fn run_upload(
-        &self,
-        wire: &mut Wire,
-        head: &Head,
-        id: &str,
-        length: usize,
-        pause: Duration,
-    ) -> bool {
-        const FIRST_BYTES: usize = 16 << 10;
-        let run = self.begin(head, id);
-        let first = length.min(FIRST_BYTES);
-        let mut whole = wire.body(Framing::Length(first)).is_ok();
-        thread::sleep(pause);
-        whole = whole && wire.body(Framing::Length(length - first)).is_ok();
-        let is_sent = whole && respond(wire, "200 OK", id, &body_of(id, 200));
-        if !whole {
-            let shared = &*self.shared;
-            shared
-                .record
-                .line(&format!("{} body of {id} broke off", shared.cfg.id));
-        }
-        self.end(run, is_sent);
-        is_sent
-    }
-
     fn begin(&self, head: &Head, id: &str) -> usize {
         let shared = &*self.shared;
         shared.record.line(&format!("{} runs {id}", shared.cfg.id));
@@ -300,24 +260,24 @@
         slots.running += 1;
         true
     }
+}
 
-    /// Works for some time: `Some(true)` when done, `Some(false)` at the deadline, `None` if the
-    /// connection was closed.
-    fn work(&self, wire: &Wire, work: Duration, deadline: Instant) -> Option<bool> {
-        let done = Instant::now() + work;
-        loop {
-            let now = Instant::now();
-            if now >= deadline {
-                return Some(false);
-            }
-            if now >= done {
-                return Some(true);
-            }
-            if wire.is_closed() {
-                return None;
-            }
-            thread::sleep(CHECK_INTERVAL.min(done - now));
+/// Works for some time: `Some(true)` when done, `Some(false)` at the deadline, `None` if the
+/// connection was closed.
+fn work(wire: &Wire, work: Duration, deadline: Instant) -> Option<bool> {
+    let done = Instant::now() + work;
+    loop {
+        let now = Instant::now();
+        if now >= deadline {
+            return Some(false);
+        }
+        if now >= done {
+            return Some(true);
+        }
+        if wire.is_closed() {
+            return None;
         }
+        thread::sleep(CHECK_INTERVAL.min(done - now));
     }
 }
 
@@ -328,7 +288,7 @@
     let head = format!(
         "HTTP/1.1 200 OK\r\nBerylhead-Request-Id: {id}\r\nBerylhead-Server-Signature: s-{id}\r\n\r\n"
     );
-    let piece = [b'#'; PIECE_BYTES];
+    let piece = vec![b'#'; PIECE_BYTES];
     let mut is_open = wire.stream.write_all(head.as_bytes()).is_ok();
     while is_open {
         is_open = wire.stream.write_all(&piece).is_ok();
--- a/review/standins/src/bin/late_refusal.rs
+++ b/review/standins/src/bin/late_refusal.rs
@@ -33,7 +33,6 @@
         zone,
         slots: 32,
         queue: 32,
-        small_window: false,
         trouble: None,
     }
 }
--- a/review/standins/src/bin/slow_reader.rs
+++ b/review/standins/src/bin/slow_reader.rs
@@ -31,7 +31,6 @@
         zone,
         slots: 16,
         queue: 16,
-        small_window: false,
         trouble: None,
     }
 }
--- a/review/standins/src/bin/stop_queue.rs
+++ b/review/standins/src/bin/stop_queue.rs
@@ -36,7 +36,6 @@
         zone,
         slots: 8,
         queue: 8,
-        small_window: false,
         trouble: None,
     }
 }
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -32,7 +32,8 @@
             self.deadline.as_millis()
         );
         if self.method == "POST" {
-            text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+            let length = format!("Content-Length: {}\r\n", self.body.len());
+            text.push_str(&length);
         }
         text.push_str("\r\n");
         let mut bytes = text.into_bytes();
--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 
@@ -61,9 +61,6 @@
 
 /// A daemon process; it is killed when dropped.
 pub struct Daemon {
-    pub machine: Machine,
-    settings: PathBuf,
-    log: PathBuf,
     child: Child,
 }
 
@@ -78,12 +75,8 @@
         let path = folder.join(format!("{}.yaml", machine.name));
         let log = folder.join(format!("{}.log", machine.name));
         std::fs::write(&path, settings).expect("settings can be written");
-        let child = spawn(&path, &log);
         Daemon {
-            machine: machine.clone(),
-            settings: path,
-            log,
-            child,
+            child: spawn(&path, &log),
         }
     }
 
@@ -98,12 +91,6 @@
         assert!(sent.is_ok_and(|status| status.success()), "kill -s {name}");
     }
 
-    /// Exit status, if the process has ended.
-    pub fn ended(&mut self) -> Option<String> {
-        let status = self.child.try_wait().ok().flatten();
-        status.map(|status| status.to_string())
-    }
-
     fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -112,27 +99,6 @@
             running.retain(|other| *other != pid);
         }
     }
-
-    /// Kills the process if it still runs, and starts another one in its place.
-    pub fn restart(&mut self) {
-        self.kill();
-        self.child = spawn(&self.settings, &self.log);
-    }
-
-    /// What the process has logged so far.
-    #[must_use]
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
-
-    /// Largest resident memory so far, in kilobytes.
-    #[must_use]
-    pub fn peak_memory_kb(&self) -> Option<u64> {
-        let path = format!("/proc/{}/status", self.child.id());
-        let text = std::fs::read_to_string(path).ok()?;
-        let line = text.lines().find(|line| line.starts_with("VmHWM:"))?;
-        line.split_whitespace().nth(1)?.parse().ok()
-    }
 }
 
 impl Drop for Daemon {
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -1,7 +1,8 @@
 //! A small deployment on loopback addresses.
 
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -23,8 +24,6 @@
     pub zone: &'static str,
     pub slots: usize,
     pub queue: usize,
-    /// True if the backend's connections have a small receive window.
-    pub small_window: bool,
     /// What the backend does wrong, if it is in trouble.
     pub trouble: Option<Trouble>,
 }
@@ -108,7 +107,6 @@
                 slots: spec.slots,
                 queue: spec.queue,
                 heartbeat: Duration::from_millis(1_500),
-                small_window: spec.small_window,
                 trouble: spec.trouble,
             };
             let backend = Backend::start(cfg, &fleet.store, &fleet.record, &fleet.runs);
@@ -179,19 +177,12 @@
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("no holder panics").clone()
     }
-
-    /// Folder of the settings and logs.
-    #[must_use]
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
 }
 
 fn is_ready(machine: &Machine) -> bool {
     let Some(mut wire) = connect(machine.ready()) else {
         return false;
     };
-    use std::io::Write;
     let asked = wire
         .stream
         .write_all(b"GET /-/readyz HTTP/1.1\r\nHost: ready\r\n\r\n");
@@ -286,10 +277,11 @@
         .collect();
     zones.sort_unstable();
     zones.dedup();
-    let zones: String = zones
+    let zones: Vec<String> = zones
         .iter()
         .map(|zone| format!("    {zone}: \"norte\"\n"))
         .collect();
+    let zones = zones.concat();
     let Ports {
         inbound,
         app,
--- a/review/standins/src/window.rs
+++ b/review/standins/src/window.rs
@@ -2,10 +2,10 @@
 
 use std::ffi::{c_int, c_void};
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
-use std::os::fd::{AsRawFd, FromRawFd, OwnedFd};
+use std::net::{SocketAddr, SocketAddrV4, TcpStream};
+use std::os::fd::{FromRawFd, OwnedFd};
 
-const AF_INET: c_int = 2;
+const AF_INET: u16 = 2;
 const SOCK_STREAM_CLOEXEC: c_int = 1 | 0o2_000_000;
 const SOL_SOCKET: c_int = 1;
 const SO_RCVBUF: c_int = 8;
@@ -52,12 +52,12 @@
 /// If the connection can't be established.
 pub fn connect_with(to: SocketAddrV4, bytes: c_int) -> io::Result<TcpStream> {
     // SAFETY: no memory is passed.
-    let raw = checked(unsafe { socket(AF_INET, SOCK_STREAM_CLOEXEC, 0) })?;
+    let raw = checked(unsafe { socket(c_int::from(AF_INET), SOCK_STREAM_CLOEXEC, 0) })?;
     // SAFETY: the descriptor was just opened and has no other owner.
     let owned = unsafe { OwnedFd::from_raw_fd(raw) };
     set_receive_buffer(raw, bytes)?;
     let address = RawAddress {
-        family: AF_INET as u16,
+        family: AF_INET,
         port: to.port().to_be_bytes(),
         ip: to.ip().octets(),
         padding: [0; 8],
@@ -67,15 +67,6 @@
     Ok(TcpStream::from(owned))
 }
 
-/// Gives the connections that a listener accepts from now on a receive buffer of about `bytes`.
-///
-/// # Errors
-///
-/// If the option can't be set.
-pub fn limit_accepted(listener: &TcpListener, bytes: c_int) -> io::Result<()> {
-    set_receive_buffer(listener.as_raw_fd(), bytes)
-}
-
 /// The IPv4 form of an address.
 ///
 /// # Panics
