End answers without end at their route's timeout, and ask another target

Cause: the timeout covered only the wait for the head that is passed on. Once 512 KiB of the body were in, the head went out and the body was bounded only by the daemon beside the target, 5 s after the deadline. A target that stops within a body of announced length held its caller in the same way, and nothing bounded what all such bodies hold together.

Change: an idempotent request whose answer announces no length and exceeds 512 KiB, or 32 MiB with all others, is sent to another target while the first answer waits. What is streamed all the same is broken off at the deadline; a body of announced length once its sender has kept the daemon waiting that long, so that slow callers keep their answers. A target whose answer did not end counts as failing.

--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Records that an answer which was counted as whole turned out to be faulty. Does nothing if the
+    /// instance has been removed.
+    pub fn record_faulty_answer(&mut self, key: InstanceKey, now: Instant) {
+        if let Some(instance) = self.instances.get_mut(key) {
+            instance.failure_score.record(true, now);
+            instance.error_rate.record(true, now);
+        }
+    }
+
     /// Decaying average of an instance's recent failures, in thousandths; zero if the instance has
     /// been removed.
     #[must_use]
--- a/crates/policy/tests/least_cost.rs
+++ b/crates/policy/tests/least_cost.rs
@@ -218,3 +218,28 @@
     // It is tried again after a while.
     assert!(is_used_after(true, 4_000 * MS));
 }
+
+/// Guards against an instance that draws calls because it begins each answer at once and ends none.
+#[test]
+fn an_instance_whose_answers_turn_out_faulty_gets_fewer_calls() {
+    let now = Instant::now();
+    let mut router = router(now);
+    let mut at_faulty = 0;
+    for _ in 0..2_000 {
+        let key = pick(&mut router, &[], now);
+        let is_faulty = router
+            .instance(key)
+            .is_some_and(|id| id.as_str() == "caja-0");
+        let latency = if is_faulty { MS } else { 30 * MS };
+        router.report_run_time(key, latency);
+        router.finish(key, CallOutcome::Answered, latency, None, now);
+        if is_faulty {
+            at_faulty += 1;
+            router.record_faulty_answer(key, now);
+        }
+    }
+    assert!(
+        at_faulty < 100,
+        "{at_faulty} of 2,000 calls to the faulty one"
+    );
+}
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::response::Parts;
 use http::{Response, StatusCode};
 use model::{Class, InstanceId, Refusal, RefusalReason, ServiceName};
 use policy::{CallOutcome, Fingerprint, InstanceKey, Pick, RootRequest, Shed, Treatment};
 use routes::{Idempotency, Target};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 use wire::Hop;
 
 use crate::local_target::{self, ForwardOutcome, ForwardedRequest};
@@ -60,10 +61,28 @@
     fingerprint: Fingerprint,
 }
 
+/// A final answer.
+struct FinalAnswer {
+    outcome: RequestOutcome,
+    res: Response<Payload>,
+    /// Copy of the request, if another target could still answer it.
+    copy: Option<ForwardedRequest>,
+}
+
+impl FinalAnswer {
+    fn new(outcome: RequestOutcome, res: Response<Payload>) -> Self {
+        FinalAnswer {
+            outcome,
+            res,
+            copy: None,
+        }
+    }
+}
+
 /// Reaction to the outcome of one send.
 enum NextStep {
     /// Return this answer to the caller.
-    Answer(RequestOutcome, Response<Payload>),
+    Answer(FinalAnswer),
     /// Send the request to another target.
     Resend(ForwardedRequest),
 }
@@ -89,7 +108,7 @@
     /// Sends the request until there is a final answer.
     pub(crate) async fn run(
         mut self,
-        mut forward: ForwardedRequest,
+        forward: ForwardedRequest,
     ) -> (RequestOutcome, Response<Payload>) {
         let Some(service) = self.relay.next_service(&self.request.route) else {
             return (
@@ -111,24 +130,92 @@
         if let Err(shed) = self.admit_root(&service) {
             return (RequestOutcome::Shed, self.shed(&shed));
         }
+        let answer = self.send_until_final(&service, forward).await;
+        match answer.copy {
+            Some(copy) if answer.res.body().may_be_endless() => {
+                let first = (answer.outcome, answer.res);
+                self.ask_another(&service, first, copy).await
+            }
+            _ => (answer.outcome, answer.res),
+        }
+    }
+
+    /// Sends the request to one target after another until there is a final answer.
+    async fn send_until_final(
+        &mut self,
+        service: &ServiceName,
+        mut forward: ForwardedRequest,
+    ) -> FinalAnswer {
         loop {
             // The previous send may have crashed its target, too.
-            if let Some(answer) = self.hold_back() {
-                return answer;
+            if let Some((outcome, res)) = self.hold_back() {
+                return FinalAnswer::new(outcome, res);
             }
-            let (key, target) = match self.pick_for_trial(&service) {
+            let (key, target) = match self.pick_for_trial(service) {
                 Ok(picked) => picked,
-                Err(refusal) => return self.give_up(&service, &refusal),
+                Err(refusal) => {
+                    let (outcome, res) = self.give_up(service, &refusal);
+                    return FinalAnswer::new(outcome, res);
+                }
             };
             let copy = forward.copy();
-            let outcome = self.send(&service, key, &target, forward).await;
-            match self.next_step(&service, outcome, copy) {
-                NextStep::Answer(outcome, res) => return (outcome, res),
+            let outcome = self.send(service, key, &target, forward).await;
+            match self.next_step(service, outcome, copy) {
+                NextStep::Answer(answer) => return answer,
                 NextStep::Resend(resend) => forward = resend,
             }
         }
     }
 
+    /// Asks another target while the first answer, which may be endless, waits. If the other answer
+    /// ends, the caller gets that one; otherwise it gets the first one, for which half of the time
+    /// is left.
+    async fn ask_another(
+        &mut self,
+        service: &ServiceName,
+        first: (RequestOutcome, Response<Payload>),
+        copy: ForwardedRequest,
+    ) -> (RequestOutcome, Response<Payload>) {
+        self.target_sends += 1;
+        self.may_have_run = true;
+        let left = self.time_left();
+        let may_send = self.request.route.idempotency == Idempotency::Idempotent
+            && self.tried.len() < MAX_TARGETS_TRIED
+            && left > MIN_TIME_LEFT
+            && self.try_spend_resend(service);
+        if !may_send {
+            return first;
+        }
+        let (first_key, first_target) = (
+            self.tried.last().copied(),
+            self.last_target.borrow().clone(),
+        );
+        let other = timeout(left / 2, self.send_until_final(service, copy)).await;
+        let other = other
+            .ok()
+            .filter(|other| other.outcome == RequestOutcome::Answered);
+        let is_faulty = other
+            .as_ref()
+            .is_some_and(|other| !other.res.body().may_be_endless());
+        log::info!(
+            id = self.request.id.to_str().unwrap_or("unprintable"),
+            route = self.request.route.name.as_str(),
+            target_id:% = first_target.unwrap_or_default(),
+            other_target_id:% = self.last_target.borrow().clone().unwrap_or_default(),
+            other_answered = other.is_some(),
+            other_ended = is_faulty,
+            held_ms = millis(self.request.arrived.elapsed());
+            "another target asked in place of an answer that may be endless"
+        );
+        if let (true, Some(key)) = (is_faulty, first_key) {
+            let now = Instant::now().into_std();
+            self.relay.with_service(service, |state| {
+                state.router.record_faulty_answer(key, now);
+            });
+        }
+        other.map_or(first, |other| (other.outcome, other.res))
+    }
+
     /// Checks a root request against the admission shares of the services that it depends on.
     ///
     /// A call is always admitted, as it is part of a root request that has started.
@@ -333,10 +420,7 @@
     ) -> NextStep {
         let (resend, refusal) = match outcome {
             ForwardOutcome::Answered { head, body } => {
-                return NextStep::Answer(
-                    RequestOutcome::Answered,
-                    Response::from_parts(head, body),
-                );
+                return NextStep::Answer(self.answered(head, body, copy));
             }
             ForwardOutcome::NotRun { refusal, at_target } => {
                 self.target_sends += u32::from(at_target);
@@ -363,23 +447,48 @@
                 (idempotent && self.try_spend_resend(service), None)
             }
         };
-        let left = self
-            .request
-            .deadline
-            .saturating_duration_since(Instant::now());
         match (copy, refusal) {
-            (Some(copy), _) if resend && left > MIN_TIME_LEFT => NextStep::Resend(copy),
+            (Some(copy), _) if resend && self.time_left() > MIN_TIME_LEFT => NextStep::Resend(copy),
             (_, Some(refusal)) => {
                 let (outcome, res) = self.give_up(service, &refusal);
-                NextStep::Answer(outcome, res)
+                NextStep::Answer(FinalAnswer::new(outcome, res))
             }
-            (_, None) => NextStep::Answer(
+            (_, None) => NextStep::Answer(FinalAnswer::new(
                 RequestOutcome::Unknown,
                 status_only(StatusCode::BAD_GATEWAY),
-            ),
+            )),
+        }
+    }
+
+    /// Prepares the answer of a target for the caller. The copy of the request is kept if the route
+    /// is not known for large answers without announced length.
+    fn answered(
+        &self,
+        head: Parts,
+        mut body: Payload,
+        copy: Option<ForwardedRequest>,
+    ) -> FinalAnswer {
+        body.limit_time(&self.request.id, self.request.deadline, Instant::now());
+        let route = &self.request.route.name;
+        let is_usual = self.relay.large_answer_routes.borrow().contains(route);
+        if body.may_be_endless() && !is_usual {
+            let (relay, route) = (Rc::clone(self.relay), route.clone());
+            body.on_whole(Box::new(move || {
+                relay.large_answer_routes.borrow_mut().insert(route);
+            }));
+        }
+        FinalAnswer {
+            outcome: RequestOutcome::Answered,
+            res: Response::from_parts(head, body),
+            copy: copy.filter(|_| !is_usual),
         }
     }
 
+    fn time_left(&self) -> Duration {
+        let deadline = self.request.deadline;
+        deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Spends one resend of the service's budget; `false` if the budget or the route's maximum
     /// number of sends is used up.
     fn try_spend_resend(&self, service: &ServiceName) -> bool {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 #![deny(missing_docs)]
 
 mod admission;
+mod answer_memory;
 mod connection_pool;
 mod crash_news;
 mod dispatch;
@@ -59,6 +60,7 @@
 mod sync;
 mod target_end;
 mod target_notice;
+mod time_limit;
 mod view;
 
 pub use crate::error::Error;
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -26,10 +26,6 @@
 /// Retry delay of a request that the local target can't run or refuses, such as when it is leaving.
 const LOCAL_REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Time after its deadline at which an answer that is still being streamed is broken off: a slow
-/// caller may still be reading.
-const STREAM_OVERRUN: Duration = Duration::from_secs(5);
-
 /// Outcome of a forwarded request.
 pub(crate) enum ForwardOutcome {
     /// The target answered the request.
@@ -88,7 +84,7 @@
         let headers = &self.head.headers;
         let bytes = |name| headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
         let path = self.head.uri.path_and_query();
-        let length = if matches!(self.body, Payload::Streamed { .. }) {
+        let length = if matches!(self.body, Payload::Streamed(_)) {
             bytes(&header::CONTENT_LENGTH)
         } else {
             b""
@@ -265,7 +261,7 @@
     let mut body = if is_head {
         Payload::empty()
     } else {
-        match Payload::read(body).await {
+        match Payload::read_answer(body, &relay.answer_memory).await {
             Ok(body) => body,
             Err(error) => {
                 slot.finish(RunOutcome::Failed);
@@ -289,7 +285,9 @@
     }
     let answer_headers = head.headers.clone();
     strip_hop_by_hop(&mut head.headers);
-    body.set_expiry(deadline + STREAM_OVERRUN);
+    if let Some(id) = &id {
+        body.limit_time(id, deadline, Instant::now());
+    }
     if body.keep_until_end(Box::new(InFlightGuard::new(relay))) {
         body.keep_until_end(Box::new((connection, run, slot)));
     } else {
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -117,7 +117,7 @@
         share: piggyback::take_target_share(&mut head.headers),
     });
     piggyback::take_answer_headers(relay, &hop.route, &mut head.headers);
-    let mut body = match Payload::read(reply.body).await {
+    let mut body = match Payload::read_answer(reply.body, &relay.answer_memory).await {
         Ok(body) => body,
         Err(error) => {
             let why = format!("answer between daemons incomplete: {error}");
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -148,8 +148,12 @@
     let limit = notice.limit_per_second.unwrap_or(f64::INFINITY);
     metrics.set_gauge("target_limit_per_second", limit);
     metrics.set_gauge("target_leaving", f64::from(u8::from(notice.is_leaving)));
-    let crashes = relay.crashes.borrow();
     let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+    metrics.set_gauge(
+        "unsized_answer_bytes",
+        count(relay.answer_memory.reserved()),
+    );
+    let crashes = relay.crashes.borrow();
     metrics.set_gauge("requests_held_back", count(crashes.held_count()));
     metrics.set_gauge("target_ends_known", count(crashes.end_count()));
     let mut text = Vec::new();
--- a/crates/relay/src/payload.rs
+++ b/crates/relay/src/payload.rs
@@ -5,10 +5,14 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
+use http::HeaderValue;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::Instant;
+
+use crate::answer_memory::{AnswerMemory, Reservation};
+use crate::time_limit::TimeLimit;
 
 /// Bodies smaller than this size in bytes are buffered, so that a request can be resent and a
 /// response that breaks off is detected before any of it is forwarded. Larger bodies are
@@ -20,16 +24,24 @@
     /// The complete body.
     Buffered(Bytes),
     /// A body that is streamed after the bytes that were already read.
-    Streamed {
-        prefix: Bytes,
-        rest: Incoming,
-        /// When the body is broken off.
-        expiry: Option<Pin<Box<Sleep>>>,
-        /// Dropped when the body has ended.
-        guards: BodyGuards,
-    },
+    Streamed(Box<StreamedBody>),
+}
+
+/// A body that is streamed after the bytes that were already read.
+pub(crate) struct StreamedBody {
+    prefix: Bytes,
+    rest: Incoming,
+    /// When the body is broken off.
+    time_limit: Option<TimeLimit>,
+    /// Called when the body has ended, unless it broke off.
+    on_whole: Option<OnWhole>,
+    /// Dropped when the body has ended.
+    guards: BodyGuards,
 }
 
+/// Called when a streamed body has arrived whole.
+pub(crate) type OnWhole = Box<dyn FnOnce()>;
+
 /// Why a streamed body ended early.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum BodyError {
@@ -54,7 +66,7 @@
     pub(crate) fn try_clone(&self) -> Option<Payload> {
         match self {
             Payload::Buffered(bytes) => Some(Payload::Buffered(bytes.clone())),
-            Payload::Streamed { .. } => None,
+            Payload::Streamed(_) => None,
         }
     }
 
@@ -62,7 +74,7 @@
     pub(crate) fn known_bytes(&self) -> &[u8] {
         match self {
             Payload::Buffered(bytes) => bytes,
-            Payload::Streamed { prefix, .. } => prefix,
+            Payload::Streamed(body) => &body.prefix,
         }
     }
 
@@ -71,41 +83,112 @@
     pub(crate) fn keep_until_end(&mut self, guard: Box<dyn std::any::Any>) -> bool {
         match self {
             Payload::Buffered(_) => false,
-            Payload::Streamed { guards, .. } => {
-                guards.push(guard);
+            Payload::Streamed(body) => {
+                body.guards.push(guard);
                 true
             }
         }
     }
 
-    /// Reads a body until it ends or reaches [`MAX_BUFFERED_BYTES`].
-    pub(crate) async fn read(mut body: Incoming) -> Result<Payload, hyper::Error> {
+    /// Reads the body of a request until it ends or reaches [`MAX_BUFFERED_BYTES`].
+    pub(crate) async fn read(body: Incoming) -> Result<Payload, hyper::Error> {
+        Self::read_within(body, None).await
+    }
+
+    /// Reads the body of an answer until it ends or reaches [`MAX_BUFFERED_BYTES`]. If its length is
+    /// not announced, the bytes are reserved from `memory`, and reading stops when none is left.
+    pub(crate) async fn read_answer(
+        body: Incoming,
+        memory: &AnswerMemory,
+    ) -> Result<Payload, hyper::Error> {
+        let is_unsized = body.size_hint().exact().is_none();
+        Self::read_within(body, is_unsized.then(|| memory.reserve_none())).await
+    }
+
+    async fn read_within(
+        mut body: Incoming,
+        mut reservation: Option<Reservation>,
+    ) -> Result<Payload, hyper::Error> {
         if body.is_end_stream() {
             return Ok(Payload::empty());
         }
         let mut prefix = BodyBuffer::default();
-        while prefix.len() < MAX_BUFFERED_BYTES {
+        let mut has_memory = true;
+        while prefix.len() < MAX_BUFFERED_BYTES && has_memory {
             let Some(frame) = body.frame().await else {
-                return Ok(Payload::Buffered(prefix.into_bytes()));
+                return Ok(Payload::Buffered(prefix.into_bytes(reservation)));
             };
             if let Ok(data) = frame?.into_data() {
+                let reservation = reservation.as_mut();
+                has_memory = reservation.is_none_or(|reservation| reservation.grow(data.len()));
                 prefix.push(data);
             }
         }
-        Ok(Payload::Streamed {
-            prefix: prefix.into_bytes(),
+        Ok(Payload::Streamed(Box::new(StreamedBody {
+            prefix: prefix.into_bytes(reservation),
             rest: body,
-            expiry: None,
+            time_limit: None,
+            on_whole: None,
             guards: BodyGuards::new(),
-        })
+        })))
+    }
+
+    /// Returns `true` for a streamed body that announces no length: it may never end.
+    pub(crate) fn may_be_endless(&self) -> bool {
+        matches!(self, Payload::Streamed(body) if body.rest.size_hint().exact().is_none())
+    }
+
+    /// Breaks a streamed answer off if it takes too long: at the deadline of its request if it may
+    /// never end, else once its sender has kept the daemon waiting until then. Time for which the
+    /// receiver does not read a body of announced length is not counted, as it is slow itself.
+    pub(crate) fn limit_time(&mut self, id: &HeaderValue, deadline: Instant, now: Instant) {
+        let may_be_endless = self.may_be_endless();
+        if let Payload::Streamed(body) = self {
+            let limit = if may_be_endless {
+                TimeLimit::until(deadline, id)
+            } else {
+                TimeLimit::of_sender(deadline, now, id)
+            };
+            body.time_limit = Some(limit);
+        }
+    }
+
+    /// Calls `f` when a streamed body has arrived whole. A buffered one already has.
+    pub(crate) fn on_whole(&mut self, f: OnWhole) {
+        if let Payload::Streamed(body) = self {
+            body.on_whole = Some(f);
+        }
     }
+}
 
-    /// Breaks a streamed body off if it has not ended by `at`. The body of a faulty target may never
-    /// end.
-    pub(crate) fn set_expiry(&mut self, at: Instant) {
-        if let Payload::Streamed { expiry, .. } = self {
-            *expiry = Some(Box::pin(sleep_until(at)));
+impl StreamedBody {
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(limit) = &mut self.time_limit
+            && limit.poll_end(cx).is_ready()
+        {
+            return Poll::Ready(Some(Err(BodyError::Expired)));
+        }
+        if !self.prefix.is_empty() {
+            let prefix = std::mem::take(&mut self.prefix);
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        let frame = Pin::new(&mut self.rest).poll_frame(cx);
+        if let Some(limit) = &mut self.time_limit
+            && limit.poll_wait(frame.is_pending(), cx).is_ready()
+        {
+            return Poll::Ready(Some(Err(BodyError::Expired)));
         }
+        let frame = ready!(frame);
+        if frame.is_none() {
+            self.guards.clear();
+            if let Some(on_whole) = self.on_whole.take() {
+                on_whole();
+            }
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(BodyError::Broken)))
     }
 }
 
@@ -133,11 +216,16 @@
         self.joined.extend_from_slice(&data);
     }
 
-    fn into_bytes(self) -> Bytes {
-        if self.joined.is_empty() {
+    /// Returns the bytes, which hold the reservation until the last copy is dropped.
+    fn into_bytes(self, reservation: Option<Reservation>) -> Bytes {
+        let bytes = if self.joined.is_empty() {
             self.first_chunk
         } else {
             self.joined.freeze()
+        };
+        match reservation {
+            Some(reservation) if !bytes.is_empty() => reservation.attach_to(bytes),
+            _ => bytes,
         }
     }
 }
@@ -153,41 +241,23 @@
         match self.get_mut() {
             Payload::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
             Payload::Buffered(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Payload::Streamed {
-                prefix,
-                rest,
-                expiry,
-                guards,
-            } => {
-                let is_expired = |expiry: &mut Pin<Box<Sleep>>| expiry.as_mut().poll(cx).is_ready();
-                if expiry.as_mut().is_some_and(is_expired) {
-                    return Poll::Ready(Some(Err(BodyError::Expired)));
-                }
-                if !prefix.is_empty() {
-                    return Poll::Ready(Some(Ok(Frame::data(std::mem::take(prefix)))));
-                }
-                let frame = ready!(Pin::new(rest).poll_frame(cx));
-                if frame.is_none() {
-                    guards.clear();
-                }
-                Poll::Ready(frame.map(|frame| frame.map_err(BodyError::Broken)))
-            }
+            Payload::Streamed(body) => body.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Payload::Buffered(bytes) => bytes.is_empty(),
-            Payload::Streamed { prefix, rest, .. } => prefix.is_empty() && rest.is_end_stream(),
+            Payload::Streamed(body) => body.prefix.is_empty() && body.rest.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Payload::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Payload::Streamed { prefix, rest, .. } => {
-                let rest = rest.size_hint();
-                let prefix = prefix.len() as u64;
+            Payload::Streamed(body) => {
+                let rest = body.rest.size_hint();
+                let prefix = body.prefix.len() as u64;
                 let mut hint = SizeHint::new();
                 hint.set_lower(prefix + rest.lower());
                 if let Some(upper) = rest.upper() {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::admission::Admission;
+use crate::answer_memory::AnswerMemory;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_news::CrashExchange;
 use crate::fate::KnownDaemons;
@@ -64,6 +65,9 @@
     pub(crate) names: HeaderNames,
     pub(crate) connection_pool: ConnectionPool,
     pub(crate) metrics: Metrics,
+    pub(crate) answer_memory: AnswerMemory,
+    /// Routes of which a large answer without announced length has arrived whole.
+    pub(crate) large_answer_routes: RefCell<HashSet<SmolStr>>,
     pub(crate) admission: Rc<Admission>,
     pub(crate) runs: RefCell<Runs>,
     pub(crate) dependencies: RefCell<RouteDependencies>,
@@ -113,6 +117,8 @@
             names,
             connection_pool: ConnectionPool::default(),
             metrics: Metrics::new(),
+            answer_memory: AnswerMemory::default(),
+            large_answer_routes: RefCell::new(HashSet::new()),
             admission: Admission::new(gate, now),
             runs: RefCell::new(Runs::default()),
             dependencies: RefCell::new(RouteDependencies::default()),
@@ -157,6 +163,7 @@
             self.round_robins
                 .borrow_mut()
                 .retain(|name, _| exists(name));
+            self.large_answer_routes.borrow_mut().retain(exists);
             self.dependencies.borrow_mut().retain(exists);
             self.origins.borrow_mut().retain(exists);
             self.reconfigure_gate();
--- a/crates/standin/src/scripted_target.rs
+++ b/crates/standin/src/scripted_target.rs
@@ -37,6 +37,8 @@
     WriteAndClose(Vec<u8>),
     /// Writes these bytes, then the others again and again until the client closes the connection.
     WriteEndlessly(Vec<u8>, Vec<u8>),
+    /// Writes these bytes and then nothing; the connection stays open until the client closes it.
+    WriteAndHang(Vec<u8>),
     /// Sends no response; the connection stays open until the client closes it.
     Hang,
 }
@@ -168,10 +170,13 @@
                 *abandoned.lock().unwrap_or_else(PoisonError::into_inner) += 1;
                 return Ok(());
             }
+            Action::WriteAndHang(bytes) => {
+                stream.write_all(&bytes).await?;
+                wait_for_close(&mut stream, abandoned).await;
+                return Ok(());
+            }
             Action::Hang => {
-                let mut rest = [0; 64];
-                while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
-                *abandoned.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+                wait_for_close(&mut stream, abandoned).await;
                 return Ok(());
             }
         }
@@ -179,6 +184,13 @@
     Ok(())
 }
 
+/// Waits until the client closes the connection, and counts the request as abandoned.
+async fn wait_for_close(stream: &mut TcpStream, abandoned: &Mutex<u32>) {
+    let mut rest = [0; 64];
+    while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
+    *abandoned.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+}
+
 /// Reads one request with a `content-length`, or without a body; `None` if the connection
 /// ends first.
 async fn read(
