Take only a refusal that echoes the request id as proof of not run

Cause: a 421, or an answer with the header of refusals, was taken for the target's even without the id, which is what tells late bytes from the answer that is due.

Change: an answer without the id of its request is an unknown outcome, whatever its status.

--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -242,16 +242,14 @@
         body,
         connection,
     } = reply;
-    let echoed = head.headers.get(&relay.names.request_id);
-    let matches_request = match echoed {
-        Some(_) => echoed == id.as_ref(),
-        // A target may refuse a request without reading its id.
-        None => is_refusal(relay, &head),
-    };
-    if !matches_request {
+    // Without the id, even a refusal may belong to an earlier request of this connection.
+    if head.headers.get(&relay.names.request_id) != id.as_ref() {
         slot.finish(RunOutcome::Failed);
         return ForwardOutcome::Unknown {
-            why: "the answer does not echo the request id".to_owned(),
+            why: format!(
+                "the answer with status {} does not echo the request id",
+                head.status
+            ),
         };
     }
     // An answer of another target at this address says nothing about the local one.
