Let no entry of an unknown service hide a target at its address

Cause: of the entries with one address only the last one written was kept, and this was decided while the list was parsed, without the configuration that says which services there are.

Change: the list keeps all entries. Entries of services that the configuration does not name are left out before those of one address are compared, and again when the configuration changes. The digest between daemons stays as it was.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -166,7 +166,8 @@
             self.large_answer_routes.borrow_mut().retain(exists);
             self.dependencies.borrow_mut().retain(exists);
             self.origins.borrow_mut().retain(exists);
-            self.reconfigure_gate();
+            // A service that the table adds or drops changes which entries name targets.
+            self.apply_targets_change();
         }
         result
     }
@@ -174,7 +175,7 @@
     /// Applies a target list unless its revision is older than that of the current one.
     pub(crate) fn update_targets(
         &self,
-        listed: &Targets,
+        listed: Targets,
         document: Document,
         read_at: Instant,
     ) -> UpdateResult {
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -376,7 +376,7 @@
                 log::debug!(revision; "target list of unknown age ignored");
                 return;
             };
-            if relay.update_targets(&targets, document, read_at) == UpdateResult::Applied {
+            if relay.update_targets(targets, document, read_at) == UpdateResult::Applied {
                 log::info!(revision, count; "targets changed");
             }
         }),
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -21,6 +21,8 @@
     pub(crate) local_target: Option<Target>,
     /// True if the local target has been listed at any time.
     pub(crate) local_target_was_listed: bool,
+    /// The target list as it was read last, with entries that name no target.
+    listed: Targets,
     freshness: Freshness,
     active_targets: ActiveTargets,
     /// Both states in their published form, for daemons that can't read them from the source.
@@ -53,14 +55,28 @@
         self.freshness.set_table_version(table.version());
         self.table = Some(Rc::new(table));
         self.table_document = Some(document);
+        if let Some(read_at) = self.freshness.targets_read_at() {
+            let targets = self.listed_targets();
+            if self.active_targets.apply(&targets, read_at) {
+                self.targets = self.active_targets.snapshot();
+            }
+        }
         UpdateResult::Applied
     }
 
+    /// Returns the targets of the list. An entry of a service that the configuration doesn't name is
+    /// none.
+    fn listed_targets(&self) -> Targets {
+        let table = self.table.as_ref();
+        self.listed
+            .in_use(|service| table.is_none_or(|table| table.names_service(service)))
+    }
+
     /// Applies a target list that was read at `read_at`, unless its revision is older than that of
     /// the current one.
     pub(crate) fn update_targets(
         &mut self,
-        listed: &Targets,
+        listed: Targets,
         document: Document,
         read_at: Instant,
     ) -> UpdateResult {
@@ -79,7 +95,9 @@
         self.freshness
             .set_targets(document.revision, digest, read_at);
         self.targets_document = Some(document);
-        if !self.active_targets.update(listed, read_at) {
+        self.listed = listed;
+        let targets = self.listed_targets();
+        if !self.active_targets.update(&targets, read_at) {
             return UpdateResult::Unchanged;
         }
         self.targets = self.active_targets.snapshot();
--- a/crates/routes/src/active_targets.rs
+++ b/crates/routes/src/active_targets.rs
@@ -130,6 +130,12 @@
         self.removed
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < REMOVED_RETENTION);
         self.mark_reachable(now);
+        self.apply(listed, now)
+    }
+
+    /// Applies the last list once more, after what counts as a target has changed. Returns `true` as
+    /// [`Self::update`] does.
+    pub fn apply(&mut self, listed: &Targets, now: Instant) -> bool {
         let unlisted = |id: &&InstanceId| listed.get(id).is_none();
         self.missing = self.present.keys().filter(unlisted).cloned().collect();
         let mut changed = self.expire(now);
@@ -201,7 +207,8 @@
         self.present.values()
     }
 
-    /// Copies all targets in use. Those that said that they are leaving are draining.
+    /// Copies the targets in use, one at each address. Those that said that they are leaving are
+    /// draining.
     #[must_use]
     pub fn snapshot(&self) -> Targets {
         let targets = self.present.values().cloned();
@@ -211,7 +218,8 @@
             }
             target
         });
-        with_state.collect()
+        let targets: Targets = with_state.collect();
+        targets.in_use(|_| true)
     }
 }
 
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,6 +1,6 @@
 //! Routes by host and longest prefix.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use model::ServiceName;
 use smol_str::SmolStr;
@@ -26,6 +26,8 @@
     routes: Vec<Route>,
     services: Vec<Service>,
     limits: Limits,
+    /// Services that have settings, or to which a route leads.
+    service_names: HashSet<ServiceName>,
     /// Routes of each host, longest prefix first.
     by_host: HashMap<SmolStr, Vec<RouteKey>>,
 }
@@ -48,11 +50,18 @@
         for keys in by_host.values_mut() {
             keys.sort_by_key(|key| std::cmp::Reverse(routes[key.index()].prefix.len()));
         }
+        let with_settings = services.iter().map(|service| &service.name);
+        let of_routes = routes.iter().flat_map(|route| &route.shares);
+        let service_names = with_settings
+            .chain(of_routes.map(|share| &share.service))
+            .cloned()
+            .collect();
         RouteTable {
             version,
             routes,
             services,
             limits,
+            service_names,
             by_host,
         }
     }
@@ -85,6 +94,12 @@
         &self.routes[key.index()]
     }
 
+    /// True if the configuration has settings for a service, or a route leads to it.
+    #[must_use]
+    pub fn names_service(&self, name: &ServiceName) -> bool {
+        self.service_names.contains(name)
+    }
+
     /// The operators' settings for a service; `None` if there are none.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
--- a/crates/routes/src/target.rs
+++ b/crates/routes/src/target.rs
@@ -92,14 +92,33 @@
         self.by_id.get(id)
     }
 
-    /// Digest of the fields that stay the same from report to report. It doesn't depend on the
-    /// order of the targets.
+    /// Digest of the fields that stay the same from report to report, of the last target to report
+    /// at each address. It doesn't depend on the order of the targets.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let each = self.by_id.values().map(Target::digest);
+        let targets = self.in_use(|_| true);
+        let each = targets.by_id.values().map(Target::digest);
         each.fold(1, u64::wrapping_add)
     }
 
+    /// The targets of the services for which `is_service` holds. Of several with one address, only
+    /// the one that reported last is kept: the others have stopped, and their entries have not
+    /// expired yet. An entry of an unknown service is none of a target, so it hides no other.
+    #[must_use]
+    pub fn in_use(&self, is_service: impl Fn(&ServiceName) -> bool) -> Targets {
+        let mut at: HashMap<SocketAddr, &Target> = HashMap::new();
+        for target in self.by_id.values() {
+            if !is_service(&target.service) {
+                continue;
+            }
+            let last = at.entry(target.address).or_insert(target);
+            if target.revision > last.revision {
+                *last = target;
+            }
+        }
+        at.into_values().cloned().collect()
+    }
+
     /// The target of a service that listens on an address.
     #[must_use]
     pub fn find_at(&self, address: SocketAddr, service: &ServiceName) -> Option<&Target> {
@@ -109,19 +128,10 @@
 }
 
 impl FromIterator<Target> for Targets {
-    /// Of several targets with one address, only the one that reported last is kept: the others
-    /// have stopped, and their entries have not expired yet.
     fn from_iter<I: IntoIterator<Item = Target>>(targets: I) -> Self {
-        let mut at: HashMap<SocketAddr, Target> = HashMap::new();
-        for target in targets {
-            match at.get(&target.address) {
-                Some(other) if other.revision > target.revision => {}
-                _ => {
-                    at.insert(target.address, target);
-                }
-            }
-        }
-        let by_id = at.into_values().map(|target| (target.id.clone(), target));
+        let by_id = targets
+            .into_iter()
+            .map(|target| (target.id.clone(), target));
         Targets {
             by_id: by_id.collect(),
         }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -165,6 +165,12 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.lock().revision
+    }
+
     /// Number of requests received so far, in any mode.
     #[must_use]
     pub fn calls(&self) -> u64 {
