Keep the connection of a caller that pauses while it reads

Cause: TCP_USER_TIMEOUT, which is to notice peers behind silent links, also runs while a living peer advertises a window of zero. Callers run on the daemon's own machine, where no link can lose them.

Change: 30 s in place of 1.5 s for connections of callers. A streamed answer releases its target at its time limit by itself, since a body is not polled while its caller reads nothing.

--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -23,7 +23,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Value of `TCP_USER_TIMEOUT`, the time for which sent bytes may stay unacknowledged: several
 /// times the slowest round trip over a low-bandwidth link.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same for a caller, which runs on this machine, so that no link can lose it. The time also runs
+/// while the caller pauses and its receive buffer is full.
+pub(crate) const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which a connection fails.
@@ -193,7 +196,7 @@
             .await
             .map_err(|_| not_sent(&"connect timeout"))?
             .map_err(|error| not_sent(&error))?;
-        enable_dead_peer_detection(&stream);
+        enable_dead_peer_detection(&stream, UNACKNOWLEDGED_TIMEOUT);
         let (requests, task) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -222,8 +225,8 @@
 }
 
 /// Sets socket options that make a connection fail within seconds if its peer stops
-/// responding, and disables Nagle's algorithm.
-pub(crate) fn enable_dead_peer_detection(stream: &TcpStream) {
+/// responding, and disables Nagle's algorithm. `unacknowledged` is the value of `TCP_USER_TIMEOUT`.
+pub(crate) fn enable_dead_peer_detection(stream: &TcpStream, unacknowledged: Duration) {
     let socket = SockRef::from(stream);
     let keep_alive = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_INTERVAL)
@@ -232,7 +235,7 @@
     let results = [
         socket.set_tcp_nodelay(true),
         socket.set_tcp_keepalive(&keep_alive),
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)),
+        socket.set_tcp_user_timeout(Some(unacknowledged)),
     ];
     for error in results.into_iter().filter_map(Result::err) {
         log::debug!(error:%; "socket option not set");
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -14,7 +14,9 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::connection_pool::enable_dead_peer_detection;
+use crate::connection_pool::{
+    CALLER_UNACKNOWLEDGED_TIMEOUT, UNACKNOWLEDGED_TIMEOUT, enable_dead_peer_detection,
+};
 use crate::error::{Error, Kind};
 use crate::guards::ConnectionGuard;
 use crate::payload::Payload;
@@ -65,10 +67,14 @@
 
 /// Accepts and serves connections until the future is dropped.
 pub(crate) async fn accept(relay: Rc<Relay>, listener: TcpListener, kind: ListenerKind) {
+    let unacknowledged = match kind {
+        ListenerKind::Outbound => CALLER_UNACKNOWLEDGED_TIMEOUT,
+        ListenerKind::Mesh | ListenerKind::Ready | ListenerKind::Metrics => UNACKNOWLEDGED_TIMEOUT,
+    };
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                enable_dead_peer_detection(&stream);
+                enable_dead_peer_detection(&stream, unacknowledged);
                 tokio::task::spawn_local(serve(Rc::clone(&relay), stream, peer.ip(), kind));
             }
             Err(error) => {
--- a/crates/relay/src/payload.rs
+++ b/crates/relay/src/payload.rs
@@ -1,6 +1,8 @@
 //! Bodies of forwarded requests and responses.
 
+use std::cell::RefCell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
@@ -30,11 +32,18 @@
 /// A body that is streamed after the bytes that were already read.
 pub(crate) struct StreamedBody {
     prefix: Bytes,
-    rest: Incoming,
+    /// `None` once the body has ended or was broken off.
+    source: Rc<RefCell<Option<Source>>>,
+    is_ended: bool,
     /// When the body is broken off.
     time_limit: Option<TimeLimit>,
     /// Called when the body has ended, unless it broke off.
     on_whole: Option<OnWhole>,
+}
+
+/// Where the rest of a streamed body comes from.
+struct Source {
+    rest: Incoming,
     /// Dropped when the body has ended.
     guards: BodyGuards,
 }
@@ -84,7 +93,9 @@
         match self {
             Payload::Buffered(_) => false,
             Payload::Streamed(body) => {
-                body.guards.push(guard);
+                if let Some(source) = &mut *body.source.borrow_mut() {
+                    source.guards.push(guard);
+                }
                 true
             }
         }
@@ -126,16 +137,19 @@
         }
         Ok(Payload::Streamed(Box::new(StreamedBody {
             prefix: prefix.into_bytes(reservation),
-            rest: body,
+            source: Rc::new(RefCell::new(Some(Source {
+                rest: body,
+                guards: BodyGuards::new(),
+            }))),
+            is_ended: false,
             time_limit: None,
             on_whole: None,
-            guards: BodyGuards::new(),
         })))
     }
 
     /// Returns `true` for a streamed body that announces no length: it may never end.
     pub(crate) fn may_be_endless(&self) -> bool {
-        matches!(self, Payload::Streamed(body) if body.rest.size_hint().exact().is_none())
+        matches!(self, Payload::Streamed(body) if body.rest_size().exact().is_none())
     }
 
     /// Breaks a streamed answer off if it takes too long: at the deadline of its request if it may
@@ -144,10 +158,17 @@
     pub(crate) fn limit_time(&mut self, id: &HeaderValue, deadline: Instant, now: Instant) {
         let may_be_endless = self.may_be_endless();
         if let Payload::Streamed(body) = self {
+            // The body is not polled while its receiver does not read.
+            let source = Rc::downgrade(&body.source);
+            let release = move || {
+                if let Some(source) = source.upgrade() {
+                    source.take();
+                }
+            };
             let limit = if may_be_endless {
-                TimeLimit::until(deadline, id)
+                TimeLimit::until(deadline, id, release)
             } else {
-                TimeLimit::of_sender(deadline, now, id)
+                TimeLimit::of_sender(deadline, now, id, release)
             };
             body.time_limit = Some(limit);
         }
@@ -175,7 +196,11 @@
             let prefix = std::mem::take(&mut self.prefix);
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
-        let frame = Pin::new(&mut self.rest).poll_frame(cx);
+        let frame = match &mut *self.source.borrow_mut() {
+            Some(source) => Pin::new(&mut source.rest).poll_frame(cx),
+            None if self.is_ended => return Poll::Ready(None),
+            None => return Poll::Ready(Some(Err(BodyError::Expired))),
+        };
         if let Some(limit) = &mut self.time_limit
             && limit.poll_wait(frame.is_pending(), cx).is_ready()
         {
@@ -183,13 +208,31 @@
         }
         let frame = ready!(frame);
         if frame.is_none() {
-            self.guards.clear();
+            self.is_ended = true;
+            self.source.take();
             if let Some(on_whole) = self.on_whole.take() {
                 on_whole();
             }
         }
         Poll::Ready(frame.map(|frame| frame.map_err(BodyError::Broken)))
     }
+
+    /// Size of what has not been read yet.
+    fn rest_size(&self) -> SizeHint {
+        match &*self.source.borrow() {
+            Some(source) => source.rest.size_hint(),
+            None if self.is_ended => SizeHint::with_exact(0),
+            None => SizeHint::default(),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let is_read = match &*self.source.borrow() {
+            Some(source) => source.rest.is_end_stream(),
+            None => self.is_ended,
+        };
+        self.prefix.is_empty() && is_read
+    }
 }
 
 /// Concatenates the chunks of a body; a single chunk is not copied.
@@ -248,7 +291,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Payload::Buffered(bytes) => bytes.is_empty(),
-            Payload::Streamed(body) => body.prefix.is_empty() && body.rest.is_end_stream(),
+            Payload::Streamed(body) => body.is_end_stream(),
         }
     }
 
@@ -256,7 +299,7 @@
         match self {
             Payload::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Payload::Streamed(body) => {
-                let rest = body.rest.size_hint();
+                let rest = body.rest_size();
                 let prefix = body.prefix.len() as u64;
                 let mut hint = SizeHint::new();
                 hint.set_lower(prefix + rest.lower());
--- a/crates/relay/src/time_limit.rs
+++ b/crates/relay/src/time_limit.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::HeaderValue;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Time after the deadline for which a body of announced length may still be read by a slow receiver.
@@ -13,6 +14,8 @@
 /// Time that a streamed answer may take.
 pub(crate) struct TimeLimit {
     end: Pin<Box<Sleep>>,
+    /// Releases the sender at `end`, even if the answer is not polled.
+    release: JoinHandle<()>,
     /// Time for which the sender may still keep the daemon waiting; `None` if only `end` counts.
     wait_left: Option<Duration>,
     /// The wait for the sender that is going on, with the time at which it has lasted too long.
@@ -21,28 +24,53 @@
     id: HeaderValue,
 }
 
+impl Drop for TimeLimit {
+    fn drop(&mut self) {
+        self.release.abort();
+    }
+}
+
 struct Wait {
     since: Instant,
     end: Pin<Box<Sleep>>,
 }
 
 impl TimeLimit {
-    /// The answer may take until the deadline, whoever is slow.
-    pub(crate) fn until(deadline: Instant, id: &HeaderValue) -> Self {
-        TimeLimit {
-            end: Box::pin(sleep_until(deadline)),
-            wait_left: None,
-            waiting: None,
-            id: id.clone(),
-        }
+    /// The answer may take until the deadline, whoever is slow. Then `release` is called.
+    pub(crate) fn until(
+        deadline: Instant,
+        id: &HeaderValue,
+        release: impl FnOnce() + 'static,
+    ) -> Self {
+        Self::new(deadline, None, id, release)
     }
 
     /// The sender may keep the daemon waiting for the time that is left until the deadline. The
-    /// receiver may take [`SLOW_RECEIVER_TIME`] longer.
-    pub(crate) fn of_sender(deadline: Instant, now: Instant, id: &HeaderValue) -> Self {
+    /// receiver may take [`SLOW_RECEIVER_TIME`] longer. Then `release` is called.
+    pub(crate) fn of_sender(
+        deadline: Instant,
+        now: Instant,
+        id: &HeaderValue,
+        release: impl FnOnce() + 'static,
+    ) -> Self {
+        let wait = deadline.saturating_duration_since(now);
+        Self::new(deadline + SLOW_RECEIVER_TIME, Some(wait), id, release)
+    }
+
+    fn new(
+        end: Instant,
+        wait_left: Option<Duration>,
+        id: &HeaderValue,
+        release: impl FnOnce() + 'static,
+    ) -> Self {
+        let release = tokio::task::spawn_local(async move {
+            sleep_until(end).await;
+            release();
+        });
         TimeLimit {
-            end: Box::pin(sleep_until(deadline + SLOW_RECEIVER_TIME)),
-            wait_left: Some(deadline.saturating_duration_since(now)),
+            end: Box::pin(sleep_until(end)),
+            release,
+            wait_left,
             waiting: None,
             id: id.clone(),
         }
