Read on after the last answer of a connection before closing it

Cause: the daemon closed the connection right behind an answer with Connection: close, while bytes of the next requests were unread. The kernel then resets the connection, and what is on its way is lost.

Change: when the HTTP server on a connection ends, the sending side is shut down, and the connection is read until its peer closes it, for 2 s and 1 MiB at most. It counts as open until then. This covers each close behind an answer: after a planned stop, a chunked request, 400, 408, 413 and 431, and of idle connections.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -54,6 +54,7 @@
 mod responses;
 mod service;
 pub mod settings;
+mod shared_stream;
 pub mod source;
 pub mod start;
 mod suspects;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -22,6 +22,7 @@
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
 use crate::responses::status_only;
+use crate::shared_stream::SharedStream;
 use crate::{held, mesh, metrics, origin};
 
 /// Length of the accept queue. Callers open hundreds of connections in a burst, and a
@@ -87,6 +88,20 @@
 
 async fn serve(relay: Rc<Relay>, stream: TcpStream, peer: IpAddr, kind: ListenerKind) {
     let _connected = ConnectionGuard::new(&relay);
+    let stream = SharedStream::new(stream);
+    if let Err(error) = serve_requests(&relay, stream.clone(), peer, kind).await {
+        log::debug!(side:? = kind, error:%; "connection ended");
+    }
+    stream.close().await;
+}
+
+/// Serves the requests of a connection until it ends or is told to.
+async fn serve_requests(
+    relay: &Rc<Relay>,
+    stream: SharedStream,
+    peer: IpAddr,
+    kind: ListenerKind,
+) -> hyper::Result<()> {
     let mut disconnect = relay.disconnect.subscribe();
     let limits = relay
         .table()
@@ -102,18 +117,15 @@
         .auto_date_header(false)
         .serve_connection(
             TokioIo::new(stream),
-            service_fn(|req| respond(Rc::clone(&relay), req, peer, kind)),
+            service_fn(|req| respond(Rc::clone(relay), req, peer, kind)),
         );
     let mut connection = pin!(connection);
-    let result = tokio::select! {
+    tokio::select! {
         result = &mut connection => result,
         _ = disconnect.wait_for(|disconnect| *disconnect) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-    };
-    if let Err(error) = result {
-        log::debug!(side:? = kind, error:%; "connection ended");
     }
 }
 
--- a/crates/standin/src/scripted_target.rs
+++ b/crates/standin/src/scripted_target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -33,6 +34,8 @@
 pub enum Action {
     /// Writes these bytes and keeps the connection.
     Write(Vec<u8>),
+    /// Writes these bytes after a delay, and keeps the connection.
+    WriteAfter(Duration, Vec<u8>),
     /// Writes these bytes and closes the connection.
     WriteAndClose(Vec<u8>),
     /// Writes these bytes, then the others again and again until the client closes the connection.
@@ -160,6 +163,10 @@
             .push(req.clone());
         match respond(&req) {
             Action::Write(bytes) => stream.write_all(&bytes).await?,
+            Action::WriteAfter(delay, bytes) => {
+                tokio::time::sleep(delay).await;
+                stream.write_all(&bytes).await?;
+            }
             Action::WriteAndClose(bytes) => {
                 stream.write_all(&bytes).await?;
                 return Ok(());
