Answer the requests that still wait when a daemon exits

Cause: at 95% of its grace period the daemon ended with requests in flight. Those that had not begun to run were neither withdrawn nor refused.

Change: at 80% of the grace period requests that wait are withdrawn, in the own queue at once and in that of another daemon by the query that settles lost answers.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -424,7 +424,8 @@
             }
             ForwardOutcome::NotRun { refusal, at_target } => {
                 self.target_sends += u32::from(at_target);
-                let targets_left = self.tried.len() < MAX_TARGETS_TRIED;
+                let targets_left =
+                    self.tried.len() < MAX_TARGETS_TRIED && !self.relay.has_stopped_sending();
                 let allowed = !at_target || self.try_spend_resend(service);
                 (targets_left && allowed, Some(refusal))
             }
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -8,6 +8,7 @@
 use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
 use model::{Refusal, RefusalReason};
 use policy::{Fingerprint, Run, RunOutcome, SendKey, Work};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use wire::Hop;
 
@@ -18,7 +19,7 @@
 use crate::header_names::HeaderNames;
 use crate::headers::strip_hop_by_hop;
 use crate::payload::Payload;
-use crate::relay::{Phase, Relay};
+use crate::relay::{Ending, Phase, Relay};
 use crate::suspects;
 use crate::target_end;
 use crate::target_notice::TargetNotice;
@@ -126,19 +127,17 @@
     if let Some(outcome) = refuse_unserved(relay, &hop) {
         return outcome;
     }
-    let mut alone = match suspects::wait_for_turn(relay, fingerprint, deadline).await {
-        Ok(alone) => alone,
-        Err(refusal) => return refusal.into(),
+    let work = to_work(relay, &hop, arrived, deadline);
+    let admitted = tokio::select! {
+        admitted = admit(relay, work, fingerprint, deadline) => admitted,
+        () = relay.until_ending(Ending::Withdrawn) => Err(Refusal {
+            reason: RefusalReason::Leaving,
+            retry_after: LOCAL_REFUSAL_RETRY_AFTER,
+        }),
     };
-    let slot = match relay
-        .admission
-        .acquire(to_work(relay, &hop, arrived, deadline))
-        .await
-    {
-        Ok(slot) => slot,
-        Err(refusal) => {
-            return refusal.into();
-        }
+    let (mut alone, slot) = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refusal.into(),
     };
     // The daemon or the target may have started to leave while the request was queued.
     if let Some(outcome) = refuse_unserved(relay, &hop) {
@@ -179,6 +178,18 @@
     outcome
 }
 
+/// Waits until a request may run, and for a slot of the target.
+async fn admit(
+    relay: &Rc<Relay>,
+    work: Work,
+    fingerprint: Fingerprint,
+    deadline: Instant,
+) -> Result<(Option<OwnedSemaphorePermit>, Slot), Refusal> {
+    let alone = suspects::wait_for_turn(relay, fingerprint, deadline).await?;
+    let slot = relay.admission.acquire(work).await?;
+    Ok((alone, slot))
+}
+
 /// Refuses a request that the local target must not run: the daemon is about to exit, or the
 /// target is draining, is no longer listed, or is another one than the sender chose.
 fn refuse_unserved(relay: &Relay, hop: &Hop) -> Option<ForwardOutcome> {
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -1,6 +1,7 @@
 //! Forwarding requests between daemons: the sending and the receiving side.
 
 use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use wire::hop::{HOP, HOP_END};
 use wire::{Hop, HopEnd};
 
-use crate::connection_pool::SendError;
+use crate::connection_pool::{Reply, SendError};
 use crate::crash_news;
 use crate::fate;
 use crate::guards::InFlightGuard;
@@ -23,11 +24,14 @@
 use crate::payload::Payload;
 use crate::piggyback::{self, TargetReport};
 use crate::pull;
-use crate::relay::Relay;
+use crate::relay::{Ending, Relay};
 use crate::responses::status_only;
 
 /// Retry delay if the daemon beside the target can't be reached.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry delay of a request that is withdrawn before the daemon exits: by then its caller uses another
+/// daemon, or this one has been restarted.
+const WITHDRAWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Keep-Alive` header value that tells other daemons for how many seconds they may reuse an idle
 /// connection.
 const KEEP_ALIVE_VALUE: &str = "timeout=30";
@@ -67,10 +71,26 @@
     piggyback::write_view_stamp(relay, &mut forward.head.headers);
     let to = relay.daemon_address(target);
     let life = relay.known_daemons.life(to);
-    let sending = relay.connection_pool.send(to, forward.into_request());
-    let result = match policy {
-        LossPolicy::Resend { overdue } => fate::while_alive(relay, to, overdue, sending).await,
-        LossPolicy::QueryFate { .. } => sending.await,
+    let send = SendKey(hop.send_id);
+    let sending = async {
+        let sending = relay.connection_pool.send(to, forward.into_request());
+        match policy {
+            LossPolicy::Resend { overdue } => fate::while_alive(relay, to, overdue, sending).await,
+            LossPolicy::QueryFate { .. } => sending.await,
+        }
+    };
+    let mut sending = pin!(sending);
+    let result = tokio::select! {
+        result = &mut sending => result,
+        () = relay.until_ending(Ending::Withdrawn) => {
+            let deadline = Instant::now() + hop.time_left;
+            if fate::never_runs(relay, to, life, send, deadline).await {
+                let outcome =
+                    ForwardOutcome::not_run(RefusalReason::Leaving, WITHDRAWN_RETRY_AFTER);
+                return (outcome, None);
+            }
+            sending.await
+        }
     };
     let reply = match result {
         Ok(reply) => reply,
@@ -83,7 +103,6 @@
         }
         Err(SendError::Broken(why)) => {
             relay.connection_pool.close_idle_to(to);
-            let send = SendKey(hop.send_id);
             if let LossPolicy::QueryFate { deadline } = policy
                 && fate::never_runs(relay, to, life, send, deadline).await
             {
@@ -94,6 +113,16 @@
             return (ForwardOutcome::Unknown { why }, None);
         }
     };
+    read_reply(relay, to, hop, reply).await
+}
+
+/// Reads the answer of another daemon, and the report that comes with it.
+async fn read_reply(
+    relay: &Rc<Relay>,
+    to: SocketAddr,
+    hop: &Hop,
+    reply: Reply,
+) -> (ForwardOutcome, Option<TargetReport>) {
     let mut head = reply.head;
     piggyback::take_view_stamp(relay, to, &mut head.headers);
     crash_news::take_verdict(relay, &mut head.headers);
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -18,7 +18,7 @@
 use crate::metrics::RequestOutcome;
 use crate::origin_request::OriginRequest;
 use crate::payload::Payload;
-use crate::relay::{Phase, Relay};
+use crate::relay::{Ending, Phase, Relay};
 use crate::responses::{service_unavailable, status_only};
 
 /// Retry delay while the daemon has no configuration yet.
@@ -92,7 +92,11 @@
             .run(forward)
             .await
     });
-    let (outcome, res) = handled.await.unwrap_or_else(|_| {
+    let handled = tokio::select! {
+        handled = handled => handled,
+        () = relay.until_ending(Ending::Answered) => Ok(answer_before_exit(&last_target)),
+    };
+    let (outcome, res) = handled.unwrap_or_else(|_| {
         log::info!(
             id = id.to_str().unwrap_or("unprintable"),
             route = route.as_str(),
@@ -112,6 +116,24 @@
     res
 }
 
+/// Returns the answer to a request that is still in flight when the process is about to exit. It may
+/// run unless it was never sent.
+fn answer_before_exit(
+    last_target: &RefCell<Option<InstanceId>>,
+) -> (RequestOutcome, Response<Payload>) {
+    if last_target.borrow().is_some() {
+        (
+            RequestOutcome::Unknown,
+            status_only(StatusCode::BAD_GATEWAY),
+        )
+    } else {
+        (
+            RequestOutcome::Refused,
+            service_unavailable(CLOSING_RETRY_AFTER),
+        )
+    }
+}
+
 /// Prepares the head of a request for forwarding.
 fn forwarded_head(relay: &Relay, mut head: Parts) -> Parts {
     strip_hop_by_hop(&mut head.headers);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -59,6 +59,17 @@
     Closing,
 }
 
+/// What happens to the requests in flight, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Ending {
+    /// They are awaited.
+    Awaited,
+    /// Those that don't run yet are withdrawn from the queues in which they wait.
+    Withdrawn,
+    /// All that are left are answered, as the process is about to exit.
+    Answered,
+}
+
 /// State of one daemon, shared by its connections and background tasks.
 pub(crate) struct Relay {
     pub(crate) cfg: Settings,
@@ -92,6 +103,8 @@
     pub(crate) in_flight: Cell<usize>,
     /// Open accepted connections.
     pub(crate) connections: Cell<usize>,
+    /// How far the daemon has come with ending the requests in flight, shortly before it exits.
+    pub(crate) ending: watch::Sender<Ending>,
     /// Set to true when each connection is to close after its current answer.
     pub(crate) disconnect: watch::Sender<bool>,
     pub(crate) view: RefCell<View>,
@@ -137,6 +150,7 @@
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
+            ending: watch::Sender::new(Ending::Awaited),
             disconnect: watch::Sender::new(false),
             view: RefCell::new(View::default()),
             readers: RefCell::new(Readers::default()),
@@ -148,6 +162,20 @@
         })
     }
 
+    /// Waits until the requests in flight have come to a stage of their ending.
+    pub(crate) async fn until_ending(&self, stage: Ending) {
+        let mut ending = self.ending.subscribe();
+        // The sender lives as long as the daemon.
+        if ending.wait_for(|ending| *ending >= stage).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// True if no request is sent any more, since the daemon is about to exit.
+    pub(crate) fn has_stopped_sending(&self) -> bool {
+        *self.ending.borrow() >= Ending::Withdrawn
+    }
+
     /// Returns the route table in force.
     pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
         self.view.borrow().table.clone()
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -9,7 +9,7 @@
 use crate::error::Error;
 use crate::header_names::HeaderNames;
 use crate::listen::{self, ListenerKind};
-use crate::relay::{Phase, Relay};
+use crate::relay::{Ending, Phase, Relay};
 use crate::settings::Settings;
 use crate::source::Source;
 use crate::sync;
@@ -23,6 +23,11 @@
 /// Maximum fraction of the grace period spent in [`Phase::Leaving`]; the rest is for requests
 /// in flight.
 const LEAVING_FRACTION: f64 = 0.42;
+/// Fraction of the grace period after which requests that wait in a queue are withdrawn. The rest is
+/// for those that run.
+const WITHDRAW_FRACTION: f64 = 0.8;
+/// Time before the exit at which the requests that are left are answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Fraction of the grace period after which the daemon stops even with requests in flight,
 /// before the process is killed.
 const SHUTDOWN_FRACTION: f64 = 0.95;
@@ -68,7 +73,21 @@
     sleep_until(stop_requested + MAX_LEAVING_TIME.min(grace.mul_f64(LEAVING_FRACTION))).await;
     relay.phase.set(Phase::Closing);
     let shutdown_deadline = stop_requested + grace.mul_f64(SHUTDOWN_FRACTION);
-    let emptied = timeout_at(shutdown_deadline, wait_until_idle(&relay))
+    let withdraw_at = stop_requested + grace.mul_f64(WITHDRAW_FRACTION);
+    let stages = [
+        (withdraw_at, Ending::Withdrawn),
+        (shutdown_deadline - LAST_ANSWERS_TIME, Ending::Answered),
+    ];
+    let mut emptied = false;
+    for (end, next) in stages {
+        emptied = timeout_at(end, wait_until_idle(&relay)).await.is_ok();
+        if emptied {
+            break;
+        }
+        log::info!(in_flight = relay.in_flight.get(), next:?; "requests still in flight");
+        relay.ending.send_replace(next);
+    }
+    emptied |= timeout_at(shutdown_deadline, wait_until_idle(&relay))
         .await
         .is_ok();
     relay.disconnect.send_replace(true);
