--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -471,8 +471,8 @@
     ) -> FinalAnswer {
         body.limit_time(&self.request.id, self.request.deadline, Instant::now());
         let route = &self.request.route.name;
-        let is_usual = self.relay.large_answer_routes.borrow().contains(route);
-        if body.may_be_endless() && !is_usual {
+        let is_known_large = self.relay.large_answer_routes.borrow().contains(route);
+        if body.may_be_endless() && !is_known_large {
             let (relay, route) = (Rc::clone(self.relay), route.clone());
             body.on_whole(Box::new(move || {
                 relay.large_answer_routes.borrow_mut().insert(route);
@@ -481,7 +481,7 @@
         FinalAnswer {
             outcome: RequestOutcome::Answered,
             res: Response::from_parts(head, body),
-            copy: copy.filter(|_| !is_usual),
+            copy: copy.filter(|_| !is_known_large),
         }
     }
 
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -94,7 +94,18 @@
     });
     let handled = tokio::select! {
         handled = handled => handled,
-        () = relay.until_ending(Ending::Answered) => Ok(answer_before_exit(&last_target)),
+        () = relay.until_ending(Ending::Answered) => {
+            let was_sent = last_target.borrow().is_some();
+            log::info!(
+                id = id.to_str().unwrap_or("unprintable"),
+                route = route.as_str(),
+                is_call,
+                was_sent,
+                held_ms = millis(arrived.elapsed());
+                "request answered before the exit"
+            );
+            Ok(answer_before_exit(was_sent))
+        }
     };
     let (outcome, res) = handled.unwrap_or_else(|_| {
         log::info!(
@@ -118,10 +129,8 @@
 
 /// Returns the answer to a request that is still in flight when the process is about to exit. It may
 /// run unless it was never sent.
-fn answer_before_exit(
-    last_target: &RefCell<Option<InstanceId>>,
-) -> (RequestOutcome, Response<Payload>) {
-    if last_target.borrow().is_some() {
+fn answer_before_exit(was_sent: bool) -> (RequestOutcome, Response<Payload>) {
+    if was_sent {
         (
             RequestOutcome::Unknown,
             status_only(StatusCode::BAD_GATEWAY),
