Move the handling of answers that may never end out of the dispatch

Change: FinalAnswer and the two functions that decide on unfinished answers are in final_answer.rs; fields and constants that they use are visible in the crate. Nothing else changes.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,14 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::response::Parts;
 use http::{Response, StatusCode};
 use model::{Class, InstanceId, Refusal, RefusalReason, ServiceName};
 use policy::{CallOutcome, Fingerprint, InstanceKey, Pick, RootRequest, Shed, Treatment};
 use routes::{Idempotency, Target};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use wire::Hop;
 
+use crate::final_answer::FinalAnswer;
 use crate::local_target::{self, ForwardOutcome, ForwardedRequest};
 use crate::mesh::{self, LossPolicy};
 use crate::metrics::RequestOutcome;
@@ -33,9 +33,9 @@
 /// Maximum retry delay of a shed request.
 const MAX_SHED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Maximum number of targets tried for one request.
-const MAX_TARGETS_TRIED: usize = 4;
+pub(crate) const MAX_TARGETS_TRIED: usize = 4;
 /// Minimum time left until the deadline for a resend.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
+pub(crate) const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 /// Number of mean run times after which an answer is overdue; it allows for time in the queue.
 const OVERDUE_RUN_TIMES: u32 = 4;
 /// Minimum time after which an answer is overdue: a busy daemon may be delayed by that much.
@@ -48,37 +48,19 @@
 
 /// A request that is sent to one target after another until it has a final answer.
 pub(crate) struct Dispatch<'a> {
-    relay: &'a Rc<Relay>,
-    request: OriginRequest,
+    pub(crate) relay: &'a Rc<Relay>,
+    pub(crate) request: OriginRequest,
     /// Targets to which the request was sent, including sends that did not reach them.
-    tried: Vec<InstanceKey>,
+    pub(crate) tried: Vec<InstanceKey>,
     /// Sends that reached a target or may have reached it.
-    target_sends: u32,
+    pub(crate) target_sends: u32,
     /// Target of the last send, shared with the caller, which logs it at a timeout.
-    last_target: &'a RefCell<Option<InstanceId>>,
+    pub(crate) last_target: &'a RefCell<Option<InstanceId>>,
     /// True after a send whose outcome is unknown.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     fingerprint: Fingerprint,
 }
 
-/// A final answer.
-struct FinalAnswer {
-    outcome: RequestOutcome,
-    res: Response<Payload>,
-    /// Copy of the request, if another target could still answer it.
-    copy: Option<ForwardedRequest>,
-}
-
-impl FinalAnswer {
-    fn new(outcome: RequestOutcome, res: Response<Payload>) -> Self {
-        FinalAnswer {
-            outcome,
-            res,
-            copy: None,
-        }
-    }
-}
-
 /// Reaction to the outcome of one send.
 enum NextStep {
     /// Return this answer to the caller.
@@ -141,7 +123,7 @@
     }
 
     /// Sends the request to one target after another until there is a final answer.
-    async fn send_until_final(
+    pub(crate) async fn send_until_final(
         &mut self,
         service: &ServiceName,
         mut forward: ForwardedRequest,
@@ -167,55 +149,6 @@
         }
     }
 
-    /// Asks another target while the first answer, which may be endless, waits. If the other answer
-    /// ends, the caller gets that one; otherwise it gets the first one, for which half of the time
-    /// is left.
-    async fn ask_another(
-        &mut self,
-        service: &ServiceName,
-        first: (RequestOutcome, Response<Payload>),
-        copy: ForwardedRequest,
-    ) -> (RequestOutcome, Response<Payload>) {
-        self.target_sends += 1;
-        self.may_have_run = true;
-        let left = self.time_left();
-        let may_send = self.request.route.idempotency == Idempotency::Idempotent
-            && self.tried.len() < MAX_TARGETS_TRIED
-            && left > MIN_TIME_LEFT
-            && self.try_spend_resend(service);
-        if !may_send {
-            return first;
-        }
-        let (first_key, first_target) = (
-            self.tried.last().copied(),
-            self.last_target.borrow().clone(),
-        );
-        let other = timeout(left / 2, self.send_until_final(service, copy)).await;
-        let other = other
-            .ok()
-            .filter(|other| other.outcome == RequestOutcome::Answered);
-        let is_faulty = other
-            .as_ref()
-            .is_some_and(|other| !other.res.body().may_be_endless());
-        log::info!(
-            id = self.request.id.to_str().unwrap_or("unprintable"),
-            route = self.request.route.name.as_str(),
-            target_id:% = first_target.unwrap_or_default(),
-            other_target_id:% = self.last_target.borrow().clone().unwrap_or_default(),
-            other_answered = other.is_some(),
-            other_ended = is_faulty,
-            held_ms = millis(self.request.arrived.elapsed());
-            "another target asked in place of an answer that may be endless"
-        );
-        if let (true, Some(key)) = (is_faulty, first_key) {
-            let now = Instant::now().into_std();
-            self.relay.with_service(service, |state| {
-                state.router.record_faulty_answer(key, now);
-            });
-        }
-        other.map_or(first, |other| (other.outcome, other.res))
-    }
-
     /// Checks a root request against the admission shares of the services that it depends on.
     ///
     /// A call is always admitted, as it is part of a root request that has started.
@@ -461,38 +394,14 @@
         }
     }
 
-    /// Prepares the answer of a target for the caller. The copy of the request is kept if the route
-    /// is not known for large answers without announced length.
-    fn answered(
-        &self,
-        head: Parts,
-        mut body: Payload,
-        copy: Option<ForwardedRequest>,
-    ) -> FinalAnswer {
-        body.limit_time(&self.request.id, self.request.deadline, Instant::now());
-        let route = &self.request.route.name;
-        let is_known_large = self.relay.large_answer_routes.borrow().contains(route);
-        if body.may_be_endless() && !is_known_large {
-            let (relay, route) = (Rc::clone(self.relay), route.clone());
-            body.on_whole(Box::new(move || {
-                relay.large_answer_routes.borrow_mut().insert(route);
-            }));
-        }
-        FinalAnswer {
-            outcome: RequestOutcome::Answered,
-            res: Response::from_parts(head, body),
-            copy: copy.filter(|_| !is_known_large),
-        }
-    }
-
-    fn time_left(&self) -> Duration {
+    pub(crate) fn time_left(&self) -> Duration {
         let deadline = self.request.deadline;
         deadline.saturating_duration_since(Instant::now())
     }
 
     /// Spends one resend of the service's budget; `false` if the budget or the route's maximum
     /// number of sends is used up.
-    fn try_spend_resend(&self, service: &ServiceName) -> bool {
+    pub(crate) fn try_spend_resend(&self, service: &ServiceName) -> bool {
         let slack = self.relay.resend_slack();
         let class = self.class();
         let now = Instant::now().into_std();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod dispatch;
 pub mod error;
 mod fate;
+mod final_answer;
 mod guards;
 pub mod header_names;
 mod headers;
