Cover all entries of the target list with its digest

What callers would see: requests sent to a target that is leaving, by a daemon that took the list in which it leaves for the one it had. An entry of another writer, with the target's address and written last, hid the target from the digest by which daemons compare lists, though since it no longer hides it from use.

Cause: the digest was kept as it was, over the last entry of each address.

Change: it covers all entries.

Failed before: the_digest_covers_a_target_whose_address_another_entry_bears.

Result: the tests of crate routes pass.

--- a/crates/routes/src/target.rs
+++ b/crates/routes/src/target.rs
@@ -92,12 +92,11 @@
         self.by_id.get(id)
     }
 
-    /// Digest of the fields that stay the same from report to report, of the last target to report
-    /// at each address. It doesn't depend on the order of the targets.
+    /// Digest of the fields that stay the same from report to report, of all entries. It doesn't
+    /// depend on the order of the targets.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let targets = self.in_use(|_| true);
-        let each = targets.by_id.values().map(Target::digest);
+        let each = self.by_id.values().map(Target::digest);
         each.fold(1, u64::wrapping_add)
     }
 
@@ -106,14 +105,13 @@
     /// expired yet. An entry of an unknown service is none of a target, so it hides no other.
     #[must_use]
     pub fn in_use(&self, is_service: impl Fn(&ServiceName) -> bool) -> Targets {
-        let mut at: HashMap<SocketAddr, &Target> = HashMap::new();
+        let mut at = HashMap::new();
         for target in self.by_id.values() {
-            if !is_service(&target.service) {
-                continue;
-            }
-            let last = at.entry(target.address).or_insert(target);
-            if target.revision > last.revision {
-                *last = target;
+            if is_service(&target.service) {
+                let last = at.entry(target.address).or_insert(target);
+                if target.revision > last.revision {
+                    *last = target;
+                }
             }
         }
         at.into_values().cloned().collect()
--- a/crates/routes/tests/active_targets.rs
+++ b/crates/routes/tests/active_targets.rs
@@ -257,3 +257,22 @@
     active.update(&list(&["a", "b"]), now + 2 * SECOND);
     assert_eq!(states(&active)[0].1, TargetState::Draining);
 }
+
+/// Guards against missing that a target is leaving, as an entry of another writer at its address makes
+/// two lists look the same to other daemons.
+#[test]
+fn the_digest_covers_a_target_whose_address_another_entry_bears() {
+    let odd = Target {
+        id: "odd".into(),
+        service: "unknown".into(),
+        revision: 9,
+        ..target("a")
+    };
+    let leaving = Target {
+        state: TargetState::Draining,
+        ..target("a")
+    };
+    let before: Targets = [target("a"), odd.clone()].into_iter().collect();
+    let after: Targets = [leaving, odd].into_iter().collect();
+    assert_ne!(before.digest(), after.digest());
+}
