Let the stand-in of the platform's processes echo the id in its refusals

Change: the refusal bears the id, as targets' refusals do on the platform. The checks stay; platform/tests/stray_answer.rs asks 502 for refusals without.

--- a/crates/proof/tests/platform_processes.rs
+++ b/crates/proof/tests/platform_processes.rs
@@ -163,9 +163,11 @@
             Action::WriteAndClose(bytes)
         }
         "refused" => {
-            let text =
-                "HTTP/1.1 503 Busy\r\nberylhead-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
-            Action::Write(text.as_bytes().to_vec())
+            let text = format!(
+                "HTTP/1.1 503 Busy\r\nberylhead-request-id: {id}\r\nberylhead-not-executed: 1\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            Action::Write(text.into_bytes())
         }
         "held" => Action::Hang,
         _ => complete_response(seen, "200 OK", "x"),
