Don't replace a large answer by another target's failure

What callers would see: a 500 in place of a large answer without announced length that was ready, when the other target that was asked meanwhile fails.

Cause: any whole answer of the other target replaced the first one, and counted the first target as failing.

Change: a server error of the other target does neither.

Failed before: large_answer_without_announced_length_is_not_replaced_by_a_failure (0 of 4 large answers delivered).

--- a/crates/relay/src/final_answer.rs
+++ b/crates/relay/src/final_answer.rs
@@ -80,9 +80,10 @@
             self.last_target.borrow().clone(),
         );
         let other = timeout(left / 2, self.send_until_final(service, copy)).await;
-        let other = other
-            .ok()
-            .filter(|other| other.outcome == RequestOutcome::Answered);
+        let other = other.ok().filter(|other| {
+            let is_failure = other.res.status().is_server_error();
+            other.outcome == RequestOutcome::Answered && !is_failure
+        });
         let is_faulty = other
             .as_ref()
             .is_some_and(|other| !other.res.body().may_be_endless());
