Don't start what can't end before a stopped daemon exits

Callers saw: in a planned stop, requests that were taken late in the grace period were passed on and cut off at the exit with 502, though a target was at work on them. Among them were bookings and uploads, whose callers can't tell whether they ran.

Cause: the phase of the stop was looked at when the head of a request arrived, and waiting requests were withdrawn at a fixed 80% of the grace period. Nobody compared the time that a run takes with the time until the exit: not after the body, not on the way out of a queue, not at a repeat.

Change: policy::StopPlan holds the timetable and says until when a run of a given length may start; policy::RouteRunTimes measures the runs of each route, which the daemon beside a target reports with its answers. A request that is too late is refused at once as not run, also in the middle of its body, whose rest is then read until the caller has its answer. Waiting requests are withdrawn by the same time; a query that is not answered is repeated. What is left free for the last answers and for a withdrawal shrinks with short grace periods.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,11 +50,13 @@
 * [`origins`]: routes that targets call, inferred from the origins of requests
 * [`pressure`]: running and waiting work of a target, relative to its limit
 * [`resend`]: limit on resends, out of a budget shared by all daemons
+* [`route_run_times`]: how long runs of each route have taken lately
 * [`runs`]: matching of a target's outgoing calls to the runs that made them
 * [`admission_share`]: share of the demand for a target that it can bear
 * [`shares`]: admission shares of services, as learned from other daemons
 * [`root_admission`]: which root requests may start, by the shares of the services they depend on
 * [`candidate`]: input and output of a router
+* [`stop_plan`]: until when a daemon that stops takes work, and when it exits
 */
 #![deny(missing_docs)]
 
@@ -76,10 +78,12 @@
 pub mod pressure;
 pub mod resend;
 pub mod root_admission;
+pub mod route_run_times;
 pub mod router;
 pub mod runs;
 pub mod settings;
 pub mod shares;
+pub mod stop_plan;
 pub mod work;
 
 mod cost;
@@ -117,8 +121,10 @@
 pub use crate::pressure::{Pressure, PressureMeter};
 pub use crate::resend::ResendBudget;
 pub use crate::root_admission::{RootAdmission, RootRequest, Shed};
+pub use crate::route_run_times::RouteRunTimes;
 pub use crate::router::Router;
 pub use crate::runs::{Run, RunKey, Runs};
 pub use crate::settings::{GateConfig, Headroom, Order};
 pub use crate::shares::AdmissionShares;
+pub use crate::stop_plan::StopPlan;
 pub use crate::work::{Decision, Permit, QueueEvent, RunOutcome, WaiterKey, Work};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -166,6 +166,14 @@
         self.instances.get(key)?.run_time
     }
 
+    /// Time in which a call would start in an instance, by the load that it last reported.
+    #[must_use]
+    pub fn queue_delay(&self, key: InstanceKey, now: Instant) -> Duration {
+        let instance = self.instances.get(key);
+        let load = instance.and_then(|instance| instance.fresh_load(now));
+        load.map_or(Duration::ZERO, |load| load.queue_delay)
+    }
+
     /// Records the mean run time that an instance reports; zero means unknown.
     pub fn report_run_time(&mut self, key: InstanceKey, time: Duration) {
         if let Some(instance) = self.instances.get_mut(key) {
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -140,6 +140,10 @@
                     return FinalAnswer::new(outcome, res);
                 }
             };
+            if let Err(refusal) = self.check_time(service, key) {
+                let (outcome, res) = self.give_up(service, &refusal);
+                return FinalAnswer::new(outcome, res);
+            }
             let copy = forward.copy();
             let outcome = self.send(service, key, &target, forward).await;
             match self.next_step(service, outcome, copy) {
@@ -284,6 +288,32 @@
         }
     }
 
+    /// Checks that the request can end before this daemon exits if it is sent to an instance now.
+    fn check_time(&self, service: &ServiceName, key: InstanceKey) -> Result<(), Refusal> {
+        let route = &self.request.route;
+        let certainty = self.relay.certainty(route);
+        let latest_start = self
+            .relay
+            .latest_start(&route.name, self.request.deadline, certainty);
+        let Some(latest_start) = latest_start else {
+            return Ok(());
+        };
+        let now = Instant::now();
+        self.relay.with_service(service, |state| {
+            if now + state.router.queue_delay(key, now.into_std()) < latest_start {
+                return Ok(());
+            }
+            let (outcome, latency) = (CallOutcome::Cancelled, Duration::ZERO);
+            state
+                .router
+                .finish(key, outcome, latency, None, now.into_std());
+            Err(Refusal {
+                reason: RefusalReason::Leaving,
+                retry_after: self.relay.stop_retry_after(now),
+            })
+        })
+    }
+
     /// Sends the request to a target, and reports the outcome to the router and the metrics.
     async fn send(
         &mut self,
@@ -303,7 +333,10 @@
             (outcome, Some(report))
         } else {
             let policy = self.loss_policy(service, key);
-            mesh::send(self.relay, target, &hop, policy, forward).await
+            let (relay, route) = (self.relay, &self.request.route);
+            let certainty = || relay.certainty(route);
+            let too_late = relay.until_too_late(&route.name, self.request.deadline, certainty);
+            mesh::send(relay, target, &hop, policy, forward, too_late).await
         };
         if let Some(report) = &report {
             piggyback::record_report(self.relay, service, &target.id, report);
@@ -352,13 +385,12 @@
         copy: Option<ForwardedRequest>,
     ) -> NextStep {
         let (resend, refusal) = match outcome {
-            ForwardOutcome::Answered { head, body } => {
+            ForwardOutcome::Answered { head, body, .. } => {
                 return NextStep::Answer(self.answered(head, body, copy));
             }
             ForwardOutcome::NotRun { refusal, at_target } => {
                 self.target_sends += u32::from(at_target);
-                let targets_left =
-                    self.tried.len() < MAX_TARGETS_TRIED && !self.relay.has_stopped_sending();
+                let targets_left = self.tried.len() < MAX_TARGETS_TRIED;
                 let allowed = !at_target || self.try_spend_resend(service);
                 (targets_left && allowed, Some(refusal))
             }
--- a/crates/relay/src/fate.rs
+++ b/crates/relay/src/fate.rs
@@ -14,7 +14,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use policy::SendKey;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::connection_pool::{Reply, SendError};
 use crate::payload::Payload;
@@ -32,7 +32,9 @@
 /// Response header with the [life](Relay::life) of the answering daemon in hexadecimal.
 const LIFE: HeaderName = HeaderName::from_static("berylhead-fate-life");
 /// Timeout of a query: enough for a connection and a round trip between data centres.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause before a query that was not answered is repeated.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
 /// Time after an answer for which a daemon counts as alive: a busy one may be delayed by that
 /// much.
 const PROBE_DELAY: Duration = Duration::from_millis(100);
@@ -139,27 +141,60 @@
     alive
 }
 
-/// Asks the receiving daemon for the fate of a send; true if the send has not run and never will.
+/// What is known of a send after a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendFate {
+    /// It has not run and never will.
+    NeverRuns,
+    /// It has started, or the daemon has been restarted since.
+    MayRun,
+    /// The daemon did not reply.
+    Unanswered,
+}
+
+/// Withdraws a send from the queue of the receiving daemon; completes with `true` if it never runs
+/// and with `false` if it may. Asks until the daemon replies.
 ///
 /// `life` is the daemon's life as known before the send.
-pub(crate) async fn never_runs(
+pub(crate) async fn withdraw(
     relay: &Relay,
     daemon: SocketAddr,
     life: Option<u64>,
     send: SendKey,
     deadline: Instant,
 ) -> bool {
-    let Some(life) = life else { return false };
+    loop {
+        match query(relay, daemon, life, send, deadline).await {
+            SendFate::NeverRuns => return true,
+            SendFate::MayRun => return false,
+            SendFate::Unanswered => sleep(REPEAT_DELAY).await,
+        }
+    }
+}
+
+/// Asks the receiving daemon for the fate of a send.
+///
+/// `life` is the daemon's life as known before the send.
+pub(crate) async fn query(
+    relay: &Relay,
+    daemon: SocketAddr,
+    life: Option<u64>,
+    send: SendKey,
+    deadline: Instant,
+) -> SendFate {
+    let Some(life) = life else {
+        return SendFate::MayRun;
+    };
     let query = query_fate(relay, daemon, send, deadline);
     let reply = match timeout(ANSWER_TIMEOUT, query).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => {
             log::debug!(daemon:%, error; "fate query failed");
-            return false;
+            return SendFate::Unanswered;
         }
         Err(_) => {
             log::debug!(daemon:%; "fate query timed out");
-            return false;
+            return SendFate::Unanswered;
         }
     };
     log::debug!(
@@ -168,7 +203,11 @@
         same_life = reply.life == life;
         "fate received"
     );
-    reply.never_runs && reply.life == life
+    if reply.never_runs && reply.life == life {
+        SendFate::NeverRuns
+    } else {
+        SendFate::MayRun
+    }
 }
 
 /// Reply to a fate query.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -58,6 +58,7 @@
 mod shared_stream;
 pub mod source;
 pub mod start;
+mod stopping;
 mod suspects;
 mod sync;
 mod target_end;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 use crate::connection_pool::{
     CALLER_UNACKNOWLEDGED_TIMEOUT, UNACKNOWLEDGED_TIMEOUT, enable_dead_peer_detection,
@@ -22,7 +23,7 @@
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
 use crate::responses::status_only;
-use crate::shared_stream::SharedStream;
+use crate::shared_stream::{SharedStream, UnreadBody};
 use crate::{held, mesh, metrics, origin};
 
 /// Length of the accept queue. Callers open hundreds of connections in a burst, and a
@@ -92,7 +93,7 @@
     if let Err(error) = serve_requests(&relay, stream.clone(), peer, kind).await {
         log::debug!(side:? = kind, error:%; "connection ended");
     }
-    stream.close().await;
+    stream.close(Instant::now()).await;
 }
 
 /// Serves the requests of a connection until it ends or is told to.
@@ -116,8 +117,17 @@
         .max_buf_size(limits.header_bytes + READ_AHEAD_BYTES)
         .auto_date_header(false)
         .serve_connection(
-            TokioIo::new(stream),
-            service_fn(|req| respond(Rc::clone(relay), req, peer, kind)),
+            TokioIo::new(stream.clone()),
+            service_fn(|req| {
+                let (relay, stream) = (Rc::clone(relay), stream.clone());
+                async move {
+                    let res = respond(relay, req, peer, kind).await;
+                    if let Some(body) = res.extensions().get::<UnreadBody>() {
+                        stream.expect_body(*body);
+                    }
+                    Ok::<_, Infallible>(res)
+                }
+            }),
         );
     let mut connection = pin!(connection);
     tokio::select! {
@@ -134,15 +144,15 @@
     req: Request<Incoming>,
     peer: IpAddr,
     kind: ListenerKind,
-) -> Result<Response<Payload>, Infallible> {
-    Ok(match kind {
+) -> Response<Payload> {
+    match kind {
         ListenerKind::Outbound => origin::serve(relay, req).await,
         ListenerKind::Mesh => mesh::serve(&relay, peer, req).await,
         ListenerKind::Ready => readiness_response(&relay),
         ListenerKind::Metrics => {
             held::serve(&relay, &req).unwrap_or_else(|| metrics_response(&relay))
         }
-    })
+    }
 }
 
 /// Answers a readiness check: 200 while the daemon is serving and has a configuration, else
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -8,6 +8,7 @@
 use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
 use model::{Refusal, RefusalReason};
 use policy::{Fingerprint, Run, RunOutcome, SendKey, Work};
+use smol_str::SmolStr;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use wire::Hop;
@@ -15,11 +16,12 @@
 use crate::admission::Slot;
 use crate::connection_pool::{Reply, SendError};
 use crate::fate;
-use crate::guards::{InFlightGuard, RunGuard};
+use crate::guards::{InFlightGuard, RunGuard, RunTimer};
 use crate::header_names::HeaderNames;
 use crate::headers::strip_hop_by_hop;
 use crate::payload::Payload;
-use crate::relay::{Ending, Phase, Relay};
+use crate::relay::{Phase, Relay};
+use crate::stopping::Certainty;
 use crate::suspects;
 use crate::target_end;
 use crate::target_notice::TargetNotice;
@@ -30,7 +32,12 @@
 /// Outcome of a forwarded request.
 pub(crate) enum ForwardOutcome {
     /// The target answered the request.
-    Answered { head: Head, body: Payload },
+    Answered {
+        head: Head,
+        body: Payload,
+        /// Time that the run took in the local target; `None` if it is not known here.
+        run_time: Option<Duration>,
+    },
     /// The request did not run and never will.
     NotRun {
         refusal: Refusal,
@@ -124,13 +131,17 @@
 ) -> ForwardOutcome {
     let arrived = Instant::now();
     let deadline = arrived + hop.time_left;
+    let is_closing = relay.phase.get() == Phase::Closing;
+    if is_closing || ends_too_late(relay, &hop, deadline, arrived) {
+        return ForwardOutcome::not_run(RefusalReason::Leaving, LOCAL_REFUSAL_RETRY_AFTER);
+    }
     if let Some(outcome) = refuse_unserved(relay, &hop) {
         return outcome;
     }
     let work = to_work(relay, &hop, arrived, deadline);
     let admitted = tokio::select! {
         admitted = admit(relay, work, fingerprint, deadline) => admitted,
-        () = relay.until_ending(Ending::Withdrawn) => Err(Refusal {
+        () = relay.until_too_late(&hop.route, deadline, || Certainty::High) => Err(Refusal {
             reason: RefusalReason::Leaving,
             retry_after: LOCAL_REFUSAL_RETRY_AFTER,
         }),
@@ -140,6 +151,9 @@
         Err(refusal) => return refusal.into(),
     };
     // The daemon or the target may have started to leave while the request was queued.
+    if ends_too_late(relay, &hop, deadline, Instant::now()) {
+        return ForwardOutcome::not_run(RefusalReason::Leaving, LOCAL_REFUSAL_RETRY_AFTER);
+    }
     if let Some(outcome) = refuse_unserved(relay, &hop) {
         return outcome;
     }
@@ -171,7 +185,7 @@
         },
         alone,
     );
-    let outcome = send(relay, forward, fingerprint, deadline, slot, run).await;
+    let outcome = send(relay, &hop.route, forward, fingerprint, deadline, slot, run).await;
     if matches!(outcome, ForwardOutcome::NotRun { .. }) {
         relay.fates.borrow_mut().refused(SendKey(hop.send_id));
     }
@@ -190,19 +204,22 @@
     Ok((alone, slot))
 }
 
-/// Refuses a request that the local target must not run: the daemon is about to exit, or the
-/// target is draining, is no longer listed, or is another one than the sender chose.
+/// True if a run that starts now may not end before this daemon exits. Its sender knows other
+/// targets.
+fn ends_too_late(relay: &Relay, hop: &Hop, deadline: Instant, now: Instant) -> bool {
+    let latest = relay.latest_start(&hop.route, deadline, Certainty::High);
+    latest.is_some_and(|latest| now >= latest)
+}
+
+/// Refuses a request that the local target must not run: it is draining, is no longer listed, or is
+/// another one than the sender chose.
 fn refuse_unserved(relay: &Relay, hop: &Hop) -> Option<ForwardOutcome> {
-    let reason = if relay.phase.get() == Phase::Closing {
-        RefusalReason::Leaving
-    } else {
-        let view = relay.view.borrow();
-        match &view.local_target {
-            None if view.local_target_was_listed => RefusalReason::Leaving,
-            Some(local) if local.id != hop.target => RefusalReason::NoInstance,
-            Some(local) if local.state == routes::TargetState::Draining => RefusalReason::Leaving,
-            _ => return None,
-        }
+    let view = relay.view.borrow();
+    let reason = match &view.local_target {
+        None if view.local_target_was_listed => RefusalReason::Leaving,
+        Some(local) if local.id != hop.target => RefusalReason::NoInstance,
+        Some(local) if local.state == routes::TargetState::Draining => RefusalReason::Leaving,
+        _ => return None,
     };
     Some(ForwardOutcome::not_run(reason, LOCAL_REFUSAL_RETRY_AFTER))
 }
@@ -222,6 +239,7 @@
 /// Sends a request to the local target and reads its answer.
 async fn send(
     relay: &Rc<Relay>,
+    route: &SmolStr,
     forward: ForwardedRequest,
     fingerprint: Fingerprint,
     deadline: Instant,
@@ -297,13 +315,20 @@
     if let Some(id) = &id {
         body.limit_time(id, deadline, Instant::now());
     }
-    if body.keep_until_end(Box::new(InFlightGuard::new(relay))) {
-        body.keep_until_end(Box::new((connection, run, slot)));
+    let timer = RunTimer::new(relay, route, sent);
+    let run_time = if body.keep_until_end(Box::new(InFlightGuard::new(relay))) {
+        body.keep_until_end(Box::new((connection, run, slot, timer)));
+        None
     } else {
         slot.finish(RunOutcome::Answered);
         relay.connection_pool.put_back(connection, &answer_headers);
+        Some(timer.record(Instant::now()))
+    };
+    ForwardOutcome::Answered {
+        head,
+        body,
+        run_time,
     }
-    ForwardOutcome::Answered { head, body }
 }
 
 /// Records what the local target says about itself, and logs a change.
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -5,33 +5,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use model::{Outcome, Refusal, RefusalReason};
 use policy::SendKey;
 use routes::Target;
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::Instant;
-use wire::hop::{HOP, HOP_END};
+use wire::hop::{HOP, HOP_END, RUN_TIME};
 use wire::{Hop, HopEnd};
 
 use crate::connection_pool::{Reply, SendError};
 use crate::crash_news;
-use crate::fate;
-use crate::guards::InFlightGuard;
+use crate::fate::{self, SendFate};
+use crate::guards::{InFlightGuard, RunTimer};
 use crate::headers::strip_hop_by_hop;
 use crate::local_target::{self, ForwardOutcome, ForwardedRequest};
 use crate::payload::Payload;
 use crate::piggyback::{self, TargetReport};
 use crate::pull;
-use crate::relay::{Ending, Relay};
+use crate::relay::Relay;
 use crate::responses::status_only;
 
 /// Retry delay if the daemon beside the target can't be reached.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
-/// Retry delay of a request that is withdrawn before the daemon exits: by then its caller uses another
-/// daemon, or this one has been restarted.
-const WITHDRAWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Keep-Alive` header value that tells other daemons for how many seconds they may reuse an idle
 /// connection.
 const KEEP_ALIVE_VALUE: &str = "timeout=30";
@@ -55,13 +52,15 @@
 /// Sends a request to the daemon beside a target.
 ///
 /// Returns the outcome and the report that came with the daemon's answer; the report is `None` if
-/// there is no valid answer.
+/// there is no valid answer. Once `too_late` completes, the request is withdrawn if it has not started
+/// to run.
 pub(crate) async fn send(
     relay: &Rc<Relay>,
     target: &Target,
     hop: &Hop,
     policy: LossPolicy,
     mut forward: ForwardedRequest,
+    too_late: impl Future<Output = ()>,
 ) -> (ForwardOutcome, Option<TargetReport>) {
     let Ok(value) = HeaderValue::from_str(&hop.to_string()) else {
         let outcome = ForwardOutcome::not_run(RefusalReason::Invalid, UNREACHABLE_RETRY_AFTER);
@@ -79,17 +78,21 @@
             LossPolicy::QueryFate { .. } => sending.await,
         }
     };
+    let began = Instant::now();
     let mut sending = pin!(sending);
+    let withdrawn = async {
+        too_late.await;
+        let deadline = began + hop.time_left;
+        if !fate::withdraw(relay, to, life, send, deadline).await {
+            std::future::pending::<()>().await;
+        }
+    };
     let result = tokio::select! {
         result = &mut sending => result,
-        () = relay.until_ending(Ending::Withdrawn) => {
-            let deadline = Instant::now() + hop.time_left;
-            if fate::never_runs(relay, to, life, send, deadline).await {
-                let outcome =
-                    ForwardOutcome::not_run(RefusalReason::Leaving, WITHDRAWN_RETRY_AFTER);
-                return (outcome, None);
-            }
-            sending.await
+        () = withdrawn => {
+            let retry_after = relay.stop_retry_after(Instant::now());
+            // The target itself is not leaving.
+            return (ForwardOutcome::not_run(RefusalReason::Cancelled, retry_after), None);
         }
     };
     let reply = match result {
@@ -104,7 +107,7 @@
         Err(SendError::Broken(why)) => {
             relay.connection_pool.close_idle_to(to);
             if let LossPolicy::QueryFate { deadline } = policy
-                && fate::never_runs(relay, to, life, send, deadline).await
+                && fate::query(relay, to, life, send, deadline).await == SendFate::NeverRuns
             {
                 let outcome =
                     ForwardOutcome::not_run(RefusalReason::NoInstance, UNREACHABLE_RETRY_AFTER);
@@ -113,7 +116,7 @@
             return (ForwardOutcome::Unknown { why }, None);
         }
     };
-    read_reply(relay, to, hop, reply).await
+    read_reply(relay, to, hop, began, reply).await
 }
 
 /// Reads the answer of another daemon, and the report that comes with it.
@@ -121,6 +124,7 @@
     relay: &Rc<Relay>,
     to: SocketAddr,
     hop: &Hop,
+    began: Instant,
     reply: Reply,
 ) -> (ForwardOutcome, Option<TargetReport>) {
     let mut head = reply.head;
@@ -146,6 +150,7 @@
         share: piggyback::take_target_share(&mut head.headers),
     });
     piggyback::take_answer_headers(relay, &hop.route, &mut head.headers);
+    let run_time = take_run_time(&mut head.headers);
     let mut body = match Payload::read_answer(reply.body, &relay.answer_memory).await {
         Ok(body) => body,
         Err(error) => {
@@ -161,8 +166,19 @@
     } else {
         body.keep_until_end(Box::new(connection));
     }
+    if end.outcome == Outcome::Answered {
+        let timer = RunTimer::new(relay, &hop.route, began);
+        match run_time {
+            Some(run_time) => timer.record_reported(run_time, Instant::now()),
+            None => drop(body.keep_until_end(Box::new(timer))),
+        }
+    }
     let outcome = match end.outcome {
-        Outcome::Answered => ForwardOutcome::Answered { head, body },
+        Outcome::Answered => ForwardOutcome::Answered {
+            head,
+            body,
+            run_time,
+        },
         Outcome::NotRun => ForwardOutcome::NotRun {
             refusal: Refusal {
                 reason: end.reason.unwrap_or(RefusalReason::Overloaded),
@@ -177,6 +193,13 @@
     (outcome, report)
 }
 
+/// Removes the length of a run from the headers of an answer; daemons of earlier versions report none.
+fn take_run_time(headers: &mut HeaderMap) -> Option<Duration> {
+    let text = headers.remove(RUN_TIME)?;
+    let micros = text.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_micros(micros))
+}
+
 /// Serves a request of another daemon: runs a forwarded request in the local target, or answers a
 /// fetch of a published state, a fate query or a probe.
 pub(crate) async fn serve(
@@ -240,7 +263,18 @@
         load: Some(report.load.to_smolstr()),
     };
     let mut res = match outcome {
-        ForwardOutcome::Answered { head, body } => Response::from_parts(head, body),
+        ForwardOutcome::Answered {
+            mut head,
+            body,
+            run_time,
+        } => {
+            // The target's answer may contain a header with this name.
+            head.headers.remove(RUN_TIME);
+            if let Some(Ok(run_time)) = run_time.map(|time| u64::try_from(time.as_micros())) {
+                head.headers.insert(RUN_TIME, HeaderValue::from(run_time));
+            }
+            Response::from_parts(head, body)
+        }
         ForwardOutcome::NotRun { refusal, at_target } => {
             end.outcome = Outcome::NotRun;
             end.reached_target = at_target;
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -6,7 +6,7 @@
 
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use model::InstanceId;
 use tokio::time::Instant;
 use wire::hop::HOP;
@@ -18,14 +18,12 @@
 use crate::metrics::RequestOutcome;
 use crate::origin_request::OriginRequest;
 use crate::payload::Payload;
-use crate::relay::{Ending, Phase, Relay};
+use crate::relay::{Phase, Relay};
 use crate::responses::{service_unavailable, status_only};
+use crate::shared_stream::UnreadBody;
 
 /// Retry delay while the daemon has no configuration yet.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Retry delay while the daemon is about to exit: by then its callers use other daemons, or it
-/// has been restarted.
-const CLOSING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Serves one request that originates on this machine.
 pub(crate) async fn serve(relay: Rc<Relay>, req: Request<Incoming>) -> Response<Payload> {
@@ -46,12 +44,6 @@
 async fn answer(relay: &Rc<Relay>, req: Request<Incoming>) -> Response<Payload> {
     let arrived = Instant::now();
     let (head, body) = req.into_parts();
-    if relay.phase.get() == Phase::Closing {
-        relay
-            .metrics
-            .record_request(None, RequestOutcome::Refused, arrived.elapsed());
-        return service_unavailable(CLOSING_RETRY_AFTER);
-    }
     let Some(table) = relay.table() else {
         relay
             .metrics
@@ -71,9 +63,26 @@
     let (id, route) = (request.id.clone(), request.route.name.clone());
     let is_call = request.is_call;
     let class = request.class();
+    if relay.phase.get() == Phase::Closing {
+        let unread = (!body.is_end_stream()).then(|| UnreadBody::of(&request, &table));
+        let (outcome, res) = refuse_before_exit(relay, &request, unread, arrived);
+        relay
+            .metrics
+            .record_request(Some(class), outcome, arrived.elapsed());
+        return res;
+    }
     let last_target: RefCell<Option<InstanceId>> = RefCell::new(None);
     let handled = tokio::time::timeout_at(deadline, async {
-        let body = match Payload::read(body).await {
+        let route = &request.route;
+        let certainty = || relay.certainty(route);
+        let body = tokio::select! {
+            body = Payload::read(body) => body,
+            () = relay.until_too_late(&route.name, deadline, certainty) => {
+                let unread = UnreadBody::of(&request, &table);
+                return refuse_before_exit(relay, &request, Some(unread), Instant::now());
+            }
+        };
+        let body = match body {
             Ok(body) => body,
             Err(error) => {
                 log::debug!(error:%; "request body incomplete");
@@ -94,7 +103,7 @@
     });
     let handled = tokio::select! {
         handled = handled => handled,
-        () = relay.until_ending(Ending::Answered) => {
+        () = relay.until_last_answers() => {
             let was_sent = last_target.borrow().is_some();
             log::info!(
                 id = id.to_str().unwrap_or("unprintable"),
@@ -104,7 +113,7 @@
                 held_ms = millis(arrived.elapsed());
                 "request answered before the exit"
             );
-            Ok(answer_before_exit(was_sent))
+            Ok(answer_before_exit(relay, was_sent))
         }
     };
     let (outcome, res) = handled.unwrap_or_else(|_| {
@@ -129,7 +138,7 @@
 
 /// Returns the answer to a request that is still in flight when the process is about to exit. It may
 /// run unless it was never sent.
-fn answer_before_exit(was_sent: bool) -> (RequestOutcome, Response<Payload>) {
+fn answer_before_exit(relay: &Relay, was_sent: bool) -> (RequestOutcome, Response<Payload>) {
     if was_sent {
         (
             RequestOutcome::Unknown,
@@ -138,11 +147,35 @@
     } else {
         (
             RequestOutcome::Refused,
-            service_unavailable(CLOSING_RETRY_AFTER),
+            service_unavailable(relay.stop_retry_after(Instant::now())),
         )
     }
 }
 
+/// Refuses a request that was not sent, as it could not be answered before the process exits.
+fn refuse_before_exit(
+    relay: &Relay,
+    request: &OriginRequest,
+    unread: Option<UnreadBody>,
+    now: Instant,
+) -> (RequestOutcome, Response<Payload>) {
+    let retry_after = relay.stop_retry_after(now);
+    log::info!(
+        id = request.id.to_str().unwrap_or("unprintable"),
+        route = request.route.name.as_str(),
+        is_call = request.is_call,
+        is_whole = unread.is_none(),
+        held_ms = millis(now.saturating_duration_since(request.arrived)),
+        retry_after_ms = millis(retry_after);
+        "request refused before the exit"
+    );
+    let mut res = service_unavailable(retry_after);
+    if let Some(unread) = unread {
+        res.extensions_mut().insert(unread);
+    }
+    (RequestOutcome::Refused, res)
+}
+
 /// Prepares the head of a request for forwarding.
 fn forwarded_head(relay: &Relay, mut head: Parts) -> Parts {
     strip_hop_by_hop(&mut head.headers);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,7 +10,8 @@
 use model::{Class, InstanceId, ServiceName};
 use policy::{
     AdmissionShares, Candidate, Crashes, Fates, GateConfig, InstanceStatus, ResendBudget,
-    RootAdmission, RouteDependencies, RouteOrigins, Router, RouterConfig, RoutingStrategy, Runs,
+    RootAdmission, RouteDependencies, RouteOrigins, RouteRunTimes, Router, RouterConfig,
+    RoutingStrategy, Runs, StopPlan,
 };
 use routes::{Readers, RouteTable, Target, TargetState, Targets, WeightedRoundRobin};
 use smol_str::SmolStr;
@@ -55,21 +56,11 @@
     /// Stop was requested. The daemon reports that it is not ready and closes outbound connections
     /// with the next answer, but still serves requests, as its target may outlive it.
     Leaving,
-    /// The daemon starts no more requests, so that those in flight complete before it exits.
+    /// New requests are refused. Those that arrived before still start to run if they can end before
+    /// the daemon exits.
     Closing,
 }
 
-/// What happens to the requests in flight, in this order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Ending {
-    /// They are awaited.
-    Awaited,
-    /// Those that don't run yet are withdrawn from the queues in which they wait.
-    Withdrawn,
-    /// All that are left are answered, as the process is about to exit.
-    Answered,
-}
-
 /// State of one daemon, shared by its connections and background tasks.
 pub(crate) struct Relay {
     pub(crate) cfg: Settings,
@@ -103,8 +94,10 @@
     pub(crate) in_flight: Cell<usize>,
     /// Open accepted connections.
     pub(crate) connections: Cell<usize>,
-    /// How far the daemon has come with ending the requests in flight, shortly before it exits.
-    pub(crate) ending: watch::Sender<Ending>,
+    /// Timetable of the stop, once it was requested.
+    pub(crate) stop_plan: watch::Sender<Option<StopPlan>>,
+    /// How long runs take, here and in other targets.
+    pub(crate) route_run_times: RefCell<RouteRunTimes>,
     /// Set to true when each connection is to close after its current answer.
     pub(crate) disconnect: watch::Sender<bool>,
     pub(crate) view: RefCell<View>,
@@ -150,7 +143,8 @@
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
-            ending: watch::Sender::new(Ending::Awaited),
+            stop_plan: watch::Sender::new(None),
+            route_run_times: RefCell::new(RouteRunTimes::default()),
             disconnect: watch::Sender::new(false),
             view: RefCell::new(View::default()),
             readers: RefCell::new(Readers::default()),
@@ -162,20 +156,6 @@
         })
     }
 
-    /// Waits until the requests in flight have come to a stage of their ending.
-    pub(crate) async fn until_ending(&self, stage: Ending) {
-        let mut ending = self.ending.subscribe();
-        // The sender lives as long as the daemon.
-        if ending.wait_for(|ending| *ending >= stage).await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// True if no request is sent any more, since the daemon is about to exit.
-    pub(crate) fn has_stopped_sending(&self) -> bool {
-        *self.ending.borrow() >= Ending::Withdrawn
-    }
-
     /// Returns the route table in force.
     pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
         self.view.borrow().table.clone()
@@ -194,6 +174,7 @@
             self.large_answer_routes.borrow_mut().retain(exists);
             self.dependencies.borrow_mut().retain(exists);
             self.origins.borrow_mut().retain(exists);
+            self.route_run_times.borrow_mut().retain(exists);
             // A service that the table adds or drops changes which entries name targets.
             self.apply_targets_change();
         }
--- a/crates/relay/src/start.rs
+++ b/crates/relay/src/start.rs
@@ -3,13 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::StopPlan;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::crash_news;
 use crate::error::Error;
+use crate::fate;
 use crate::header_names::HeaderNames;
 use crate::listen::{self, ListenerKind};
-use crate::relay::{Ending, Phase, Relay};
+use crate::relay::{Phase, Relay};
 use crate::settings::Settings;
 use crate::source::Source;
 use crate::sync;
@@ -17,20 +19,6 @@
 /// Interval of closing connections that have been idle, and of dropping targets that have been
 /// missing, for too long.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum duration of [`Phase::Leaving`], in which callers learn to use another daemon: long
-/// enough for two readiness checks, one per second, and one more that is in progress.
-const MAX_LEAVING_TIME: Duration = Duration::from_millis(2_500);
-/// Maximum fraction of the grace period spent in [`Phase::Leaving`]; the rest is for requests
-/// in flight.
-const LEAVING_FRACTION: f64 = 0.42;
-/// Fraction of the grace period after which requests that wait in a queue are withdrawn. The rest is
-/// for those that run.
-const WITHDRAW_FRACTION: f64 = 0.8;
-/// Time before the exit at which the requests that are left are answered.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
-/// Fraction of the grace period after which the daemon stops even with requests in flight,
-/// before the process is killed.
-const SHUTDOWN_FRACTION: f64 = 0.95;
 /// Interval of checking for requests in flight and open connections during the shutdown.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -67,31 +55,23 @@
     tokio::task::spawn_local(crash_news::spread(Rc::clone(&relay)));
     tokio::task::spawn_local(clean_up_periodically(Rc::clone(&relay)));
     stop.await;
-    let stop_requested = Instant::now();
+    let plan = StopPlan::new(Instant::now().into_std(), grace, fate::ANSWER_TIMEOUT);
     relay.phase.set(Phase::Leaving);
+    relay.begin_stop(plan);
     log::info!(in_flight = relay.in_flight.get(); "leaving");
-    sleep_until(stop_requested + MAX_LEAVING_TIME.min(grace.mul_f64(LEAVING_FRACTION))).await;
+    sleep_until(Instant::from_std(plan.leaving_end())).await;
     relay.phase.set(Phase::Closing);
-    let shutdown_deadline = stop_requested + grace.mul_f64(SHUTDOWN_FRACTION);
-    let withdraw_at = stop_requested + grace.mul_f64(WITHDRAW_FRACTION);
-    let stages = [
-        (withdraw_at, Ending::Withdrawn),
-        (shutdown_deadline - LAST_ANSWERS_TIME, Ending::Answered),
-    ];
-    let mut emptied = false;
-    for (end, next) in stages {
-        emptied = timeout_at(end, wait_until_idle(&relay)).await.is_ok();
-        if emptied {
-            break;
-        }
-        log::info!(in_flight = relay.in_flight.get(), next:?; "requests still in flight");
-        relay.ending.send_replace(next);
-    }
-    emptied |= timeout_at(shutdown_deadline, wait_until_idle(&relay))
+    let last_answers = Instant::from_std(plan.last_answers());
+    let exit = Instant::from_std(plan.exit());
+    let mut emptied = timeout_at(last_answers, wait_until_idle(&relay))
         .await
         .is_ok();
+    if !emptied {
+        log::info!(in_flight = relay.in_flight.get(); "requests still in flight");
+        emptied = timeout_at(exit, wait_until_idle(&relay)).await.is_ok();
+    }
     relay.disconnect.send_replace(true);
-    let flushed = timeout_at(shutdown_deadline, wait_until_disconnected(&relay))
+    let flushed = timeout_at(exit, wait_until_disconnected(&relay))
         .await
         .is_ok();
     log::info!(
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -27,6 +27,9 @@
 /// Response header that carries [`ServiceShare`]s, separated by commas.
 pub const SERVICE_SHARES: HeaderName = HeaderName::from_static("berylhead-shares");
 
+/// Response header with the time that the run of this request took in the target, in microseconds.
+pub const RUN_TIME: HeaderName = HeaderName::from_static("berylhead-run-time");
+
 /// Request and response header that carries a [`ViewStamp`].
 pub const VIEW: HeaderName = HeaderName::from_static("berylhead-view");
 
