Learn which process a daemon is before the first booking goes there

Cause: a daemon's reply about the fate of a send only counts if it comes from the process that was there before the send. That process was known from earlier answers, so nothing sent before the first one could be withdrawn, and a lost answer to it could not be proved not run.

Change: replies to probes name the process. Before a request that may not be repeated goes to a daemon that has never answered, it is probed once, on the connection that the request then uses: one round trip for each pair of daemons. Without a reply the request is sent as before.

Test: a_request_that_waits_is_withdrawn_once_its_run_could_not_end_in_time (its first requests to one of the targets are such ones).

--- a/crates/relay/src/fate.rs
+++ b/crates/relay/src/fate.rs
@@ -126,19 +126,39 @@
 
 /// Probes a daemon; false if it does not reply within [`ANSWER_TIMEOUT`].
 async fn is_alive(relay: &Relay, daemon: SocketAddr) -> bool {
-    let query = async {
+    let alive = probe(relay, daemon).await.is_some();
+    log::debug!(daemon:%, alive; "daemon probed");
+    alive
+}
+
+/// Returns the life of a daemon before a request is sent to it, so that its fate can be asked for;
+/// `None` if the daemon has never answered and does not now.
+pub(crate) async fn learn_life(relay: &Relay, daemon: SocketAddr) -> Option<u64> {
+    if let Some(life) = relay.known_daemons.life(daemon) {
+        return Some(life);
+    }
+    let life = probe(relay, daemon).await.flatten()?;
+    let now = Instant::now();
+    relay.known_daemons.record_answer(daemon, life, now);
+    Some(life)
+}
+
+/// Probes a daemon. Returns its life, which daemons of earlier versions don't report; `None` if it
+/// does not reply within [`ANSWER_TIMEOUT`].
+async fn probe(relay: &Relay, daemon: SocketAddr) -> Option<Option<u64>> {
+    let probe = async {
         let reply = relay
             .connection_pool
             .send_to_daemon(daemon, Request::get(ALIVE_PATH))
-            .await?;
+            .await
+            .ok()?;
+        let life = parse_hex_header(&reply.head.headers, &LIFE);
         relay
             .connection_pool
             .put_back(reply.connection, &reply.head.headers);
-        Ok::<(), &str>(())
+        Some(life)
     };
-    let alive = matches!(timeout(ANSWER_TIMEOUT, query).await, Ok(Ok(())));
-    log::debug!(daemon:%, alive; "daemon probed");
-    alive
+    timeout(ANSWER_TIMEOUT, probe).await.ok().flatten()
 }
 
 /// What is known of a send after a query.
@@ -251,7 +271,7 @@
     }
     match head.uri.path() {
         FATE_PATH => {}
-        ALIVE_PATH => return Some(status_only(StatusCode::NO_CONTENT)),
+        ALIVE_PATH => return Some(with_life(relay, status_only(StatusCode::NO_CONTENT))),
         _ => return None,
     }
     let left = head.headers.get(TIME_LEFT);
@@ -266,15 +286,20 @@
             .fates
             .borrow_mut()
             .forbid(SendKey(send), until.into_std(), now.into_std());
-    let mut res = status_only(if never_runs {
+    let status = if never_runs {
         StatusCode::OK
     } else {
         StatusCode::CONFLICT
-    });
+    };
+    Some(with_life(relay, status_only(status)))
+}
+
+/// Adds the life of this daemon to a reply.
+fn with_life(relay: &Relay, mut res: Response<Payload>) -> Response<Payload> {
     if let Ok(life) = HeaderValue::from_str(&format!("{:016x}", relay.life)) {
         res.headers_mut().insert(LIFE, life);
     }
-    Some(res)
+    res
 }
 
 fn parse_hex_header(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
--- a/crates/relay/src/mesh.rs
+++ b/crates/relay/src/mesh.rs
@@ -69,7 +69,10 @@
     forward.head.headers.insert(HOP, value);
     piggyback::write_view_stamp(relay, &mut forward.head.headers);
     let to = relay.daemon_address(target);
-    let life = relay.known_daemons.life(to);
+    let life = match policy {
+        LossPolicy::Resend { .. } => relay.known_daemons.life(to),
+        LossPolicy::QueryFate { .. } => fate::learn_life(relay, to).await,
+    };
     let send = SendKey(hop.send_id);
     let sending = async {
         let sending = relay.connection_pool.send(to, forward.into_request());
