Let runs in flight make their calls while their daemon stops

Callers saw: a run that a daemon had accepted before its stop failed if it made a call more than 2.5 s after the SIGTERM: the call was refused, the target answered 500, and what it had done was lost.

Cause: in the last phase of a stop every request from the machine was refused, calls of the local target's runs too.

Change: a request that is matched to a run in flight is let through for as long as it can end before the exit. Requests of callers are refused as before.

--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -63,7 +63,8 @@
     let (id, route) = (request.id.clone(), request.route.name.clone());
     let is_call = request.is_call;
     let class = request.class();
-    if relay.phase.get() == Phase::Closing {
+    // The runs that make calls began before, and fail without them.
+    if relay.phase.get() == Phase::Closing && request.parent.is_none() {
         let unread = (!body.is_end_stream()).then(|| UnreadBody::of(&request, &table));
         let (outcome, res) = refuse_before_exit(relay, &request, unread, arrived);
         relay
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -56,8 +56,8 @@
     /// Stop was requested. The daemon reports that it is not ready and closes outbound connections
     /// with the next answer, but still serves requests, as its target may outlive it.
     Leaving,
-    /// New requests are refused. Those that arrived before still start to run if they can end before
-    /// the daemon exits.
+    /// New requests are refused, but for calls of runs in flight. Those that arrived before still
+    /// start to run if they can end before the daemon exits.
     Closing,
 }
 
