Refuse calls that may outlast a stop, on the product's own interface too

Callers saw: a daemon that stops went on passing callers' requests to other daemons during its grace period. With a grace_ms shorter than the deadlines it ended with these in flight, and closed their connections without an answer.

Work for the own target was refused from the signal on, work for other targets never was.

Change: from the signal on, a caller's request whose deadline lies beyond the end of the grace period is refused as not run, leaving. Without grace_ms that period outlasts the longest deadline, so that only requests that come later than that margin are refused.

Test: a_call_that_may_outlast_the_grace_period_is_refused_as_not_run failed before (the connection closed without an answer after 30 s), passes now; proof's shutdown (11), leaving (7) and rolling (1) pass.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -30,6 +30,9 @@
         Ok(call) => call,
         Err(answer) => return answer,
     };
+    if state.stops_before(call.deadline) {
+        return reply::not_run(run::LEAVING);
+    }
     let mut answer = match placement(state, &req) {
         Ok(Placement::Local) => run_here(state, call, req).await,
         Ok(Placement::Remote(destination)) => forward(state, call, destination, req).await,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -26,7 +26,7 @@
 /// that its answer can be cached for duplicates.
 pub(crate) const DEADLINE_GRACE: Duration = Duration::from_secs(5);
 /// Refusal while this instance is leaving; another instance may be tried at once.
-const LEAVING: Refusal = Refusal {
+pub(crate) const LEAVING: Refusal = Refusal {
     reason: RefusalReason::Leaving,
     retry_after: Duration::ZERO,
 };
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -195,9 +195,9 @@
     let grace = grace_period(state);
     let grace_ms = u64::try_from(grace.as_millis()).unwrap_or(u64::MAX);
     log::info!(instance = id, in_flight = state.in_flight(), grace_ms; "leaving");
-    state.leaving.set(LeaveReason::Stop, true);
     let started = Instant::now();
-    let end = started + grace;
+    let end = *state.stop_end.get_or_init(|| started + grace);
+    state.leaving.set(LeaveReason::Stop, true);
     let drained = wait_until(end, || {
         state.in_flight() == 0 && started.elapsed() >= MIN_DRAIN_TIME
     })
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -1,7 +1,7 @@
 //! State that all requests of one daemon share.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 use fleet::pause::CONFIRM_TIMEOUT;
@@ -55,6 +55,8 @@
     pub(crate) outcomes: Arc<Outcomes>,
     pub(crate) freshness: Freshness,
     pub(crate) leaving: LeaveState,
+    /// When a planned stop that has begun ends, whatever is left.
+    pub(crate) stop_end: OnceLock<Instant>,
     pub(crate) control_counters: Arc<Counters>,
     refusal_predictor: Mutex<RefusalPredictor>,
     tickets: Mutex<TicketWindow>,
@@ -84,6 +86,7 @@
             metrics: Metrics::new(&identity, &control_counters),
             freshness: Freshness::new(now),
             leaving: LeaveState::default(),
+            stop_end: OnceLock::new(),
             control_counters,
             refusal_predictor: Mutex::default(),
             tickets: TicketWindow::new(identity.id, incarnation, secret, window).into(),
@@ -162,6 +165,11 @@
         self.leaving.is_leaving()
     }
 
+    /// True if this daemon stops before a call has surely ended.
+    pub(crate) fn stops_before(&self, deadline: Instant) -> bool {
+        self.stop_end.get().is_some_and(|end| deadline > *end)
+    }
+
     /// Counts a request until the guard is dropped.
     pub(crate) fn count_in_flight(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/crates/proof/tests/shutdown.rs
+++ b/crates/proof/tests/shutdown.rs
@@ -223,6 +223,32 @@
     assert_eq!(rig.ledger.runs().len(), 1);
 }
 
+/// Guards against calls that a stopping daemon passes on, and cuts off at the end of its grace period.
+#[tokio::test]
+async fn a_call_that_may_outlast_the_grace_period_is_refused_as_not_run() {
+    let rig = rig(proof::CAP).await;
+    let entry = rig.node("reservas-a1").callers();
+    let pooled = Caller::new();
+    let call = Call::new("rutas", "pack", "early").answer_bytes(100);
+    assert!(pooled.send(entry, &call).await.unwrap().answers(&call));
+    rig.node("rutas-a1").target.hold();
+    let held = Call::new("rutas", "pack", "held").answer_bytes(100);
+    let sent = send(entry, held.clone());
+    until("it runs", async || rig.ledger.runs().len() == 2).await;
+    rig.node("reservas-a1")
+        .daemon
+        .signal(Signal::Terminate)
+        .await;
+    until_leaving(&rig, "reservas-a1").await;
+    // The operation has 60 s, the stop less.
+    let call = Call::new("rutas", "pack", "late");
+    let told = pooled.send(entry, &call).await.unwrap().summary();
+    assert_eq!(told, "503 not-run leaving");
+    assert_eq!(rig.ledger.runs().len(), 2);
+    rig.node("rutas-a1").target.release();
+    assert!(sent.await.unwrap().unwrap().answers(&held));
+}
+
 #[tokio::test]
 async fn an_idle_connection_does_not_hold_the_stop() {
     let mut rig = rig(proof::CAP * 2).await;
