Let the next call surely meet the instance that stands still

The test held the instance that had got most calls, and expected at least one of 100 calls to meet it. With two instances the router compares both for each call and takes the one with the lower average latency. No rule asks the router to try the other one meanwhile.

The other instance is now 20 ms slower until the first one is held, so that the next call goes there.

--- a/crates/proof/tests/routing.rs
+++ b/crates/proof/tests/routing.rs
@@ -133,9 +133,18 @@
         &[("norte-a", "caja-1"), ("norte-a", "caja-2")],
     )
     .await;
-    let bad = favourite(&rig, "warm").await;
-    mislead(&rig, &bad);
-    rig.node(&bad).target.hold();
+    // The other one is slower until then, so that the next call surely goes to the bad one.
+    let slow = Faults {
+        latency: Duration::from_millis(20),
+        ..Faults::default()
+    };
+    let (bad, other) = ("caja-1", "caja-2");
+    let link = rig.proxy(other, Link::Mesh);
+    link.set(Direction::Request, slow);
+    assert_eq!(favourite(&rig, "warm").await, bad);
+    link.set(Direction::Request, Faults::default());
+    mislead(&rig, bad);
+    rig.node(bad).target.hold();
     let mut late = 0;
     for n in 0..CALLS {
         let mut call = quote(&format!("a-{n}"));
