Explain requests that a stop refused or answered

berylctl explain told nothing of the lines 'request refused before the exit' and 'request answered before the exit', so a request that ended so had no decisive line. The check of the time before a send takes the present time as an argument; it behaves as before.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -28,11 +28,13 @@
 
 /// Messages of the `relay` crate about the failure of a request, ordered from the one nearest to
 /// the cause.
-const FAILURES: [&str; 6] = [
+const FAILURES: [&str; 8] = [
     "request held back",
     "outcome unknown beside the target",
     "outcome unknown",
     "request timed out",
+    "request answered before the exit",
+    "request refused before the exit",
     "request refused",
     "request shed",
 ];
@@ -235,6 +237,27 @@
             field("held"),
             field("retry_after_ms")
         ),
+        "request refused before the exit" => format!(
+            "{}: refused by a daemon that stops after {} ms, {}; {}",
+            field("route"),
+            field("held_ms"),
+            if string_field(fields, "is_whole") == "true" {
+                "as its run might outlast the daemon"
+            } else {
+                "before its body had ended"
+            },
+            retry_hint()
+        ),
+        "request answered before the exit" => format!(
+            "{}: the daemon stopped after {} ms, {}",
+            field("route"),
+            field("held_ms"),
+            if string_field(fields, "was_sent") == "true" {
+                "and it may have run"
+            } else {
+                "and it was not sent"
+            }
+        ),
         "request timed out" => format!(
             "{}: no answer in its time of {} ms; sent last to {}",
             field("route"),
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -68,6 +68,8 @@
 {"class":"browse","id":"77a","level":"info","message":"request shed","pressure_age_ms":12,"pressure_thousandths":"1510","retry_after_ms":180,"route":"look","short_of":"till","under_way":4,"window":"2.7956888","time_ms":2050}
 {"asked":2,"arrivals":0,"class":"browse","held_ms":9,"id":"78b","level":"info","message":"request refused","reason":"evicted","retry_after_ms":180,"route":"look","time_ms":2050}
 {"id":"80d","is_call":"false","level":"info","held":"00000000000000ff crashed i-1 by till-1 9 s ago, i-2 by till-2 7 s ago","may_have_run":"true","message":"request held back","retry_after_ms":53000,"route":"book","time_ms":2060}
+{"held_ms":700,"id":"91e","is_call":"false","is_whole":"false","level":"info","message":"request refused before the exit","retry_after_ms":500,"route":"book","time_ms":2070}
+{"held_ms":3100,"id":"92f","is_call":"false","level":"info","message":"request answered before the exit","route":"book","was_sent":"true","time_ms":2080}
 "#;
 /// Log of another daemon as a collector writes it: time and process name before each line.
 const COLLECTED: &str = r#"not a line of a daemon
@@ -97,6 +99,14 @@
     +0.0 ms  desk-1  book: not sent again, as 00000000000000ff crashed i-1 by till-1 9 s ago, i-2 by till-2 7 s ago; may come back after 53000 ms  <- decisive
     exit 0
     ");
+    assert_snapshot!(explain("91e"), @r"
+    +0.0 ms  desk-1  book: refused by a daemon that stops after 700 ms, before its body had ended; may come back after 500 ms  <- decisive
+    exit 0
+    ");
+    assert_snapshot!(explain("92f"), @r"
+    +0.0 ms  desk-1  book: the daemon stopped after 3100 ms, and it may have run  <- decisive
+    exit 0
+    ");
 }
 
 #[test]
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -140,7 +140,7 @@
                     return FinalAnswer::new(outcome, res);
                 }
             };
-            if let Err(refusal) = self.check_time(service, key) {
+            if let Err(refusal) = self.check_time(service, key, Instant::now()) {
                 let (outcome, res) = self.give_up(service, &refusal);
                 return FinalAnswer::new(outcome, res);
             }
@@ -289,7 +289,12 @@
     }
 
     /// Checks that the request can end before this daemon exits if it is sent to an instance now.
-    fn check_time(&self, service: &ServiceName, key: InstanceKey) -> Result<(), Refusal> {
+    fn check_time(
+        &self,
+        service: &ServiceName,
+        key: InstanceKey,
+        now: Instant,
+    ) -> Result<(), Refusal> {
         let route = &self.request.route;
         let certainty = self.relay.certainty(route);
         let latest_start = self
@@ -298,7 +303,6 @@
         let Some(latest_start) = latest_start else {
             return Ok(());
         };
-        let now = Instant::now();
         self.relay.with_service(service, |state| {
             if now + state.router.queue_delay(key, now.into_std()) < latest_start {
                 return Ok(());
