Let the issuer of a ticket refuse what it may have run

Cause: the check of 'Refuse calls that may outlast a stop' came before the placement of the request. A refusal that doesn't come from the issuer proves nothing of earlier sends.

Change: only requests for other daemons are refused early, and only if they can't have been sent before.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::claim;
 use crate::forward::{Destination, Forwarder, TicketHeader};
 use crate::inbound::{self, InboundRequest};
+use crate::listen::ListenerKind;
 use crate::refusal;
 use crate::reply::{self, Answer};
 use crate::run;
@@ -30,11 +31,12 @@
         Ok(call) => call,
         Err(answer) => return answer,
     };
-    if state.stops_before(call.deadline) {
-        return reply::not_run(run::LEAVING);
-    }
+    // Only the issuer of its ticket knows whether a request that was sent before has run.
+    let may_refuse = !refusal::may_be_resend(ListenerKind::Callers, &req.headers);
+    let is_too_late = may_refuse && state.stops_before(call.deadline);
     let mut answer = match placement(state, &req) {
         Ok(Placement::Local) => run_here(state, call, req).await,
+        Ok(_) if is_too_late => reply::not_run(run::LEAVING),
         Ok(Placement::Remote(destination)) => forward(state, call, destination, req).await,
         Ok(Placement::KeyOwner(key)) => forward_to_key_owner(state, view, call, key, req).await,
         Err(answer) => return answer,
