Name the estimate by which a stopping daemon starts a run

'Certainty' with 'Usual' and 'High' needed its comments to be read; the values are now those of policy::RouteRunTimes. No change of behaviour.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -288,7 +288,8 @@
         }
     }
 
-    /// Checks that the request can end before this daemon exits if it is sent to an instance now.
+    /// Checks that the request can end before this daemon exits if it is sent to an instance now. If not,
+    /// the router no longer counts it there.
     fn check_time(
         &self,
         service: &ServiceName,
@@ -296,10 +297,10 @@
         now: Instant,
     ) -> Result<(), Refusal> {
         let route = &self.request.route;
-        let certainty = self.relay.certainty(route);
+        let estimate = self.relay.run_estimate(route);
         let latest_start = self
             .relay
-            .latest_start(&route.name, self.request.deadline, certainty);
+            .latest_start(&route.name, self.request.deadline, estimate);
         let Some(latest_start) = latest_start else {
             return Ok(());
         };
@@ -338,8 +339,8 @@
         } else {
             let policy = self.loss_policy(service, key);
             let (relay, route) = (self.relay, &self.request.route);
-            let certainty = || relay.certainty(route);
-            let too_late = relay.until_too_late(&route.name, self.request.deadline, certainty);
+            let estimate = || relay.run_estimate(route);
+            let too_late = relay.until_too_late(&route.name, self.request.deadline, estimate);
             mesh::send(relay, target, &hop, policy, forward, too_late).await
         };
         if let Some(report) = &report {
--- a/crates/relay/src/local_target.rs
+++ b/crates/relay/src/local_target.rs
@@ -21,7 +21,7 @@
 use crate::headers::strip_hop_by_hop;
 use crate::payload::Payload;
 use crate::relay::{Phase, Relay};
-use crate::stopping::Certainty;
+use crate::stopping::RunEstimate;
 use crate::suspects;
 use crate::target_end;
 use crate::target_notice::TargetNotice;
@@ -141,7 +141,7 @@
     let work = to_work(relay, &hop, arrived, deadline);
     let admitted = tokio::select! {
         admitted = admit(relay, work, fingerprint, deadline) => admitted,
-        () = relay.until_too_late(&hop.route, deadline, || Certainty::High) => Err(Refusal {
+        () = relay.until_too_late(&hop.route, deadline, || RunEstimate::UpperBound) => Err(Refusal {
             reason: RefusalReason::Leaving,
             retry_after: LOCAL_REFUSAL_RETRY_AFTER,
         }),
@@ -207,7 +207,7 @@
 /// True if a run that starts now may not end before this daemon exits. Its sender knows other
 /// targets.
 fn ends_too_late(relay: &Relay, hop: &Hop, deadline: Instant, now: Instant) -> bool {
-    let latest = relay.latest_start(&hop.route, deadline, Certainty::High);
+    let latest = relay.latest_start(&hop.route, deadline, RunEstimate::UpperBound);
     latest.is_some_and(|latest| now >= latest)
 }
 
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -75,10 +75,10 @@
     let last_target: RefCell<Option<InstanceId>> = RefCell::new(None);
     let handled = tokio::time::timeout_at(deadline, async {
         let route = &request.route;
-        let certainty = || relay.certainty(route);
+        let estimate = || relay.run_estimate(route);
         let body = tokio::select! {
             body = Payload::read(body) => body,
-            () = relay.until_too_late(&route.name, deadline, certainty) => {
+            () = relay.until_too_late(&route.name, deadline, estimate) => {
                 let unread = UnreadBody::of(&request, &table);
                 return refuse_before_exit(relay, &request, Some(unread), Instant::now());
             }
--- a/crates/relay/src/shared_stream.rs
+++ b/crates/relay/src/shared_stream.rs
@@ -27,6 +27,7 @@
 pub(crate) struct UnreadBody {
     /// When the peer no longer waits for the answer.
     deadline: Instant,
+    /// Largest body that callers may send.
     max_bytes: u64,
 }
 
--- a/crates/relay/src/stopping.rs
+++ b/crates/relay/src/stopping.rs
@@ -9,16 +9,16 @@
 
 use crate::relay::{Phase, Relay};
 
-/// Interval at which waiting requests look at the run times anew, which change while others end.
+/// Maximum time for which a waiting request relies on run times, which change while others end.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How sure it must be that a request ends before the daemon exits.
+/// Length that is assumed of a run that has not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Certainty {
-    /// It usually does. If it is cut off, it may be repeated.
-    Usual,
-    /// It hardly ever doesn't.
-    High,
+pub(crate) enum RunEstimate {
+    /// About half of the runs are longer.
+    Mean,
+    /// Few runs are longer.
+    UpperBound,
 }
 
 impl Relay {
@@ -27,16 +27,16 @@
         self.stop_plan.send_replace(Some(plan));
     }
 
-    /// How sure it must be that a request from this machine ends before the exit.
+    /// Returns the estimate by which requests from this machine may start.
     ///
-    /// While its caller has had no time to learn of the stop, a refusal costs more than to repeat a
-    /// request that may be repeated.
-    pub(crate) fn certainty(&self, route: &Route) -> Certainty {
+    /// While callers have had no time to learn of the stop, they lose more by a refusal than by a
+    /// broken answer to a request that may be repeated.
+    pub(crate) fn run_estimate(&self, route: &Route) -> RunEstimate {
         let may_repeat = route.idempotency == Idempotency::Idempotent;
         if may_repeat && self.phase.get() != Phase::Closing {
-            Certainty::Usual
+            RunEstimate::Mean
         } else {
-            Certainty::High
+            RunEstimate::UpperBound
         }
     }
 
@@ -46,10 +46,10 @@
         &self,
         route: &SmolStr,
         deadline: Instant,
-        certainty: Certainty,
+        estimate: RunEstimate,
     ) -> Option<Instant> {
         let plan = (*self.stop_plan.borrow())?;
-        let run_time = self.expected_run_time(route, certainty);
+        let run_time = self.expected_run_time(route, estimate);
         let latest = plan.latest_start(deadline.into_std(), run_time);
         latest.map(Instant::from_std)
     }
@@ -59,10 +59,10 @@
         &self,
         route: &SmolStr,
         deadline: Instant,
-        certainty: impl Fn() -> Certainty,
+        estimate: impl Fn() -> RunEstimate,
     ) {
         self.until_stop().await;
-        while let Some(latest) = self.latest_start(route, deadline, certainty()) {
+        while let Some(latest) = self.latest_start(route, deadline, estimate()) {
             let now = Instant::now();
             if now >= latest {
                 return;
@@ -97,11 +97,11 @@
 
     /// Returns how long a run of a route is expected to take, in the absence of samples the latency
     /// that the operators aim at.
-    fn expected_run_time(&self, route: &SmolStr, certainty: Certainty) -> Duration {
+    fn expected_run_time(&self, route: &SmolStr, estimate: RunEstimate) -> Duration {
         let run_times = self.route_run_times.borrow();
-        let measured = match certainty {
-            Certainty::Usual => run_times.mean(route),
-            Certainty::High => run_times.upper_bound(route),
+        let measured = match estimate {
+            RunEstimate::Mean => run_times.mean(route),
+            RunEstimate::UpperBound => run_times.upper_bound(route),
         };
         measured.unwrap_or_else(|| {
             let table = self.table();
